--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! The routing decisions of doorproxy, apart from any protocol that carries them.
+
+pub mod host;
+pub mod ids;
+pub mod policy;
+pub mod rng;
+pub mod terms;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,911 @@
+//! Every decision of one balancer. Hand [`Balancer::new`] the start terms of [`crate::terms`] and something
+//! that implements [`crate::host::Host`]; then call the one method for each thing that happens, in the order
+//! in which it happens. The balancer acts at once, by calling the host, and keeps no clock of its own.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
+use crate::ids::{AlarmId, At, CategoryId, CellId, KindId, OpId, PushNo, Span, TenantId, UpstreamId, ZoneId};
+use crate::rng::Pcg;
+use crate::terms::{DedupGroup, Repeats, StartTerms};
+
+/// A first push and up to two further ones: what the on-call staff know to be enough.
+const MOST_PUSHES: usize = 3;
+/// Enough samples for a tenth to be told from a median, few enough to forget a trouble within seconds.
+const FLEET_SAMPLES: usize = 128;
+/// A server's own: a handful decides whether it is ill before it has cost many ops.
+const SERVER_SAMPLES: usize = 8;
+/// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
+const HINTS: usize = 256;
+/// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
+const HINTS_BETWEEN_BOUNDS: usize = 32;
+/// How far beyond its fellows a server must be before it counts as ill rather than unlucky.
+const ILL_MULTIPLE: f64 = 3.0;
+/// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
+const LIMIT_KEPT: f64 = 0.8;
+/// The part of the target latency that an op may spend waiting at a server before the server counts as too full.
+const LATE_WAIT: f64 = 0.5;
+/// Where a limit starts: room for a burst on a server of a few cores, cut soon if that is too much.
+const FIRST_LIMIT: f64 = 8.0;
+/// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
+const COLD_MARGIN: f64 = 0.5;
+/// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
+const ASK_LIST: AlarmId = AlarmId(1 << 32);
+
+struct Ring<T, const N: usize>(VecDeque<T>);
+
+impl<T: Copy, const N: usize> Ring<T, N> {
+    fn new() -> Self {
+        Ring(VecDeque::with_capacity(N))
+    }
+
+    fn put(&mut self, sample: T) {
+        if self.0.len() == N {
+            self.0.pop_front();
+        }
+        self.0.push_back(sample);
+    }
+
+    fn quantile(&self, part: f64, figure: impl Fn(&T) -> Option<f64>) -> Option<f64> {
+        let mut figures = [0.0; N];
+        let mut len = 0;
+        for found in self.0.iter().filter_map(figure) {
+            figures[len] = found;
+            len += 1;
+        }
+        let last = len.checked_sub(1)?;
+        let place = (last as f64 * part).round() as usize;
+        Some(*figures[..len].select_nth_unstable_by(place, f64::total_cmp).1)
+    }
+}
+
+/// How one push ended, as evidence of its server.
+#[derive(Clone, Copy)]
+struct Sample {
+    kind: KindId,
+    took: Span,
+    /// Seconds taken for each second of hinted work.
+    pace: f64,
+}
+
+struct Server {
+    id: UpstreamId,
+    kind: KindId,
+    zone: ZoneId,
+    cell: CellId,
+    size: f64,
+    ready: bool,
+    up_since: Option<At>,
+    /// When it last started, or may have: its warming is counted from here.
+    cold_from: Option<At>,
+    in_flight: u32,
+    limit: f64,
+    cut_at: At,
+    samples: Ring<Sample, SERVER_SAMPLES>,
+    /// Since when it owes an answer and has given none, and the largest work it got in that time.
+    owes_since: Option<At>,
+    owed_work: f64,
+    /// Good answers that it still has to give on trial; none are owed by a trusted server.
+    to_prove: u32,
+    trial_from: At,
+    relapses: u32,
+    /// What was pushed within the fall window.
+    sent: VecDeque<(At, f64)>,
+}
+
+#[derive(Clone, Copy)]
+struct Push {
+    server: usize,
+    at: At,
+    out: bool,
+    may_have_run: bool,
+}
+
+struct Op {
+    arrival: OpArrival,
+    work: f64,
+    target: At,
+    ends: At,
+    benefit: f64,
+    pushes: Vec<Push>,
+    queued: bool,
+    streaming: bool,
+    due: At,
+}
+
+/// The one shared table: the largest kind is default, the next tip, and each range owns the slots of the hashed
+/// key space from the end before it up to its own, inclusive; what lies above the last end is default's.
+struct Table {
+    default: KindId,
+    tip: Option<KindId>,
+    tip_share: f64,
+    ranges: Vec<(KindId, u64)>,
+}
+
+pub struct Balancer<H> {
+    host: H,
+    terms: StartTerms,
+    rng: Pcg,
+    table: Option<Table>,
+    servers: Vec<Server>,
+    places: BTreeMap<UpstreamId, usize>,
+    ops: BTreeMap<OpId, Op>,
+    /// Ops that no push may have run, best benefit first, then by target.
+    queue: Vec<OpId>,
+    fleet: Ring<Sample, FLEET_SAMPLES>,
+    hints: Ring<f64, HINTS>,
+    hints_seen: usize,
+    tip_bound: f64,
+    in_share: Vec<VecDeque<At>>,
+    out: u32,
+    answered_at: Option<At>,
+    crowded_at: Option<At>,
+    list_failures: u32,
+}
+
+/// A fixed mix, so that every balancer hashes alike; the constants are those of SplitMix64.
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// Whether an ending proves that its push never ran; all others may have.
+fn never_ran(ending: Ending) -> bool {
+    matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::NeverSent)
+}
+
+fn table_of(rows: &[Listing]) -> Option<Table> {
+    let mut kinds: BTreeMap<KindId, (usize, f64)> = BTreeMap::new();
+    for row in rows.iter().filter(|row| row.condition != Condition::Gone) {
+        let (count, size) = kinds.entry(row.kind).or_default();
+        *count += 1;
+        *size += row.size;
+    }
+    let size = |kind: KindId| kinds[&kind].1;
+    let mut order: Vec<KindId> = kinds.keys().copied().collect();
+    order.sort_by(|a, b| {
+        kinds[b]
+            .0
+            .cmp(&kinds[a].0)
+            .then(size(*b).total_cmp(&size(*a)))
+            .then(a.cmp(b))
+    });
+    let default = *order.first()?;
+    let tip = order.get(1).copied();
+    let mut ranged: Vec<KindId> = order.into_iter().skip(2).collect();
+    ranged.sort();
+    let keyed: f64 = size(default) + ranged.iter().map(|&kind| size(kind)).sum::<f64>();
+    let mut below = 0.0;
+    let end_of = |kind| {
+        below += size(kind);
+        (kind, (below / keyed * u64::MAX as f64) as u64)
+    };
+    let ranges = ranged.into_iter().map(end_of).collect();
+    let tip_share = tip.map_or(0.0, |tip| size(tip) / (size(tip) + keyed));
+    Some(Table {
+        default,
+        tip,
+        tip_share,
+        ranges,
+    })
+}
+
+impl<H: Host> Balancer<H> {
+    pub fn new(seed: u64, terms: StartTerms, mut host: H) -> Self {
+        if terms.list_must_be_asked {
+            host.watch_list();
+        }
+        let in_share = vec![VecDeque::new(); terms.tenant_shares.len()];
+        Balancer {
+            host,
+            terms,
+            rng: Pcg::new(seed),
+            table: None,
+            servers: Vec::new(),
+            places: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            queue: Vec::new(),
+            fleet: Ring::new(),
+            hints: Ring::new(),
+            hints_seen: 0,
+            tip_bound: 0.0,
+            in_share,
+            out: 0,
+            answered_at: None,
+            crowded_at: None,
+            list_failures: 0,
+        }
+    }
+
+    pub fn knows(&self, category: CategoryId) -> bool {
+        usize::from(category.0) < self.terms.categories.len()
+    }
+
+    // Following the list.
+
+    pub fn list_given(&mut self, now: At, rows: &[Listing]) {
+        // A server that a whole list leaves out has been taken away.
+        for server in &mut self.servers {
+            server.ready = false;
+        }
+        self.list_changed(now, rows);
+    }
+
+    pub fn list_changed(&mut self, now: At, rows: &[Listing]) {
+        self.list_failures = 0;
+        for row in rows {
+            self.note_listing(now, row);
+        }
+        if self.table.is_none() {
+            self.table = table_of(rows);
+        }
+        self.serve_queue(now);
+    }
+
+    fn note_listing(&mut self, now: At, row: &Listing) {
+        let started = row.up_since.filter(|&up| now - up < self.terms.cold.warm_within);
+        let Some(&place) = self.places.get(&row.upstream) else {
+            if row.condition == Condition::Gone {
+                return;
+            }
+            self.places.insert(row.upstream, self.servers.len());
+            self.servers.push(Server {
+                id: row.upstream,
+                kind: row.kind,
+                zone: row.zone,
+                cell: row.cell,
+                size: row.size,
+                ready: row.condition == Condition::Ready,
+                up_since: row.up_since,
+                cold_from: started,
+                in_flight: 0,
+                limit: FIRST_LIMIT,
+                cut_at: now,
+                samples: Ring::new(),
+                owes_since: None,
+                owed_work: 0.0,
+                to_prove: 0,
+                trial_from: now,
+                relapses: 0,
+                sent: VecDeque::new(),
+            });
+            return;
+        };
+        let server = &mut self.servers[place];
+        server.ready = row.condition == Condition::Ready;
+        server.size = row.size;
+        if row.up_since > server.up_since {
+            server.up_since = row.up_since;
+            server.cold_from = started.max(server.cold_from);
+            server.samples = Ring::new();
+        }
+    }
+
+    pub fn list_call_failed(&mut self, now: At) {
+        // The list is one small service that all balancers call at once after trouble: each waits longer and
+        // at its own moment, but never so long that it would count as told of what it cannot know.
+        self.list_failures += 1;
+        let most = self.terms.ask_within.times(0.5);
+        let wait = most.times(0.05 * f64::from(1u32 << self.list_failures.min(4)) * (0.5 + self.rng.unit()));
+        self.host.alarm(now + wait.min(most), ASK_LIST);
+    }
+
+    // Ops.
+
+    pub fn op_arrived(&mut self, now: At, arrival: OpArrival) {
+        let category = &self.terms.categories[usize::from(arrival.category.0)];
+        let work = arrival
+            .hint
+            .or_else(|| self.hints.quantile(0.5, |&hint| Some(hint)))
+            .unwrap_or(1.0);
+        let target = category.target_latency + Span::from_secs(work * category.target_stretch);
+        let mut benefit = category.benefit;
+        if !self.is_in_share(now, arrival.tenant) {
+            benefit *= self.terms.overage_benefit;
+        }
+        if let Some(hint) = arrival.hint {
+            self.note_hint(hint);
+        }
+        let op = arrival.op;
+        let ends = now + arrival.time_left;
+        let target = (now + target).min(ends);
+        let pushes = Vec::with_capacity(1);
+        let op_state = Op {
+            arrival,
+            work,
+            target,
+            ends,
+            benefit,
+            pushes,
+            queued: false,
+            streaming: false,
+            due: now,
+        };
+        self.ops.insert(op, op_state);
+        if ends <= now {
+            return self.give_up(now, op);
+        }
+        let outdone = self
+            .queue
+            .first()
+            .is_some_and(|first| self.ops[first].benefit >= benefit);
+        if outdone || !self.place(now, op) {
+            self.enqueue(now, op);
+        }
+    }
+
+    /// What a tenant sends beyond its share is worth little; each balancer counts its own part of the share.
+    fn is_in_share(&mut self, now: At, tenant: TenantId) -> bool {
+        let Some(share) = self.terms.tenant_shares.get(usize::from(tenant.0)) else {
+            return true;
+        };
+        let most = (share / f64::from(self.terms.balancers)).ceil() as usize;
+        let counted = &mut self.in_share[usize::from(tenant.0)];
+        while counted.front().is_some_and(|&at| now - at > Span::from_secs(1.0)) {
+            counted.pop_front();
+        }
+        let within = counted.len() < most;
+        if within {
+            counted.push_back(now);
+        }
+        within
+    }
+
+    /// The bound below which an op counts as small: small ops bring as much work as the tip group's share of size.
+    fn note_hint(&mut self, hint: f64) {
+        self.hints.put(hint);
+        self.hints_seen += 1;
+        let Some(table) = &self.table else { return };
+        if self.hints_seen % HINTS_BETWEEN_BOUNDS != 0 {
+            return;
+        }
+        let mut hints: Vec<f64> = self.hints.0.iter().copied().collect();
+        hints.sort_unstable_by(f64::total_cmp);
+        let mut left = hints.iter().sum::<f64>() * table.tip_share;
+        self.tip_bound = 0.0;
+        for hint in hints {
+            left -= hint;
+            if left < 0.0 {
+                break;
+            }
+            self.tip_bound = hint;
+        }
+    }
+
+    pub fn op_expired(&mut self, now: At, op: OpId) {
+        if self.ops.contains_key(&op) {
+            self.forget(op);
+            self.serve_queue(now);
+        }
+    }
+
+    pub fn stream_started(&mut self, _now: At, op: OpId) {
+        if let Some(op) = self.ops.get_mut(&op) {
+            op.streaming = true;
+        }
+    }
+
+    // The ordinary path and its fallback.
+
+    fn home(&self, table: &Table, op: &Op) -> KindId {
+        if let (Some(tip), Some(hint)) = (table.tip, op.arrival.hint)
+            && hint <= self.tip_bound
+        {
+            return tip;
+        }
+        let Some(key) = op.arrival.key else {
+            return table.default;
+        };
+        let slot = mix(key.0);
+        table
+            .ranges
+            .iter()
+            .find(|(_, end)| slot <= *end)
+            .map_or(table.default, |(kind, _)| *kind)
+    }
+
+    fn choose(&mut self, now: At, op: OpId) -> Option<usize> {
+        let op = &self.ops[&op];
+        let table = self.table.as_ref()?;
+        let home = self.home(table, op);
+        let groups = [
+            Some(home),
+            Some(table.default).filter(|&default| default != home),
+            None,
+        ];
+        let salt = u64::from(self.rng.draw());
+        for (place, group) in groups.iter().enumerate() {
+            if place > 0 && *group == groups[place - 1] {
+                continue;
+            }
+            let is_member =
+                |server: &Server| group.is_none_or(|kind| self.group_of(table, server.kind) == kind);
+            if let Some(found) = self.draw(now, op, salt, is_member) {
+                return Some(found);
+            }
+        }
+        // Guards against answering nobody while every server is doubted: then the doubt tells nothing.
+        let trusted = self
+            .servers
+            .iter()
+            .any(|server| server.ready && server.to_prove == 0);
+        if trusted {
+            return None;
+        }
+        let may_take = |(place, server): &(usize, &Server)| {
+            server.ready
+                && !op.pushes.iter().any(|push| push.server == *place)
+                && self.may_repeat_on(now, op, server)
+                && self.bears(now, server, op.work)
+        };
+        let open = self.servers.iter().enumerate().filter(may_take);
+        open.min_by_key(|(place, server)| (server.in_flight, mix(salt ^ *place as u64)))
+            .map(|(place, _)| place)
+    }
+
+    /// A kind that the table has not heard of goes to default.
+    fn group_of(&self, table: &Table, kind: KindId) -> KindId {
+        let listed = table.tip == Some(kind) || table.ranges.iter().any(|(ranged, _)| *ranged == kind);
+        if listed { kind } else { table.default }
+    }
+
+    /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so that
+    /// it meets servers that know it; chance draws for an op without a key.
+    fn draw(&self, now: At, op: &Op, salt: u64, is_member: impl Fn(&Server) -> bool) -> Option<usize> {
+        let mut best: [Option<(u64, usize)>; 2] = [None; 2];
+        let basis = op.arrival.key.map_or(salt, |key| key.0);
+        for (place, server) in self.servers.iter().enumerate() {
+            if !server.ready || !is_member(server) || !self.may_take(now, op, place) {
+                continue;
+            }
+            if server.to_prove > 0 {
+                return Some(place);
+            }
+            let drawn = Some((mix(mix(basis) ^ u64::from(server.id.0)), place));
+            if drawn > best[0] {
+                best = [drawn, best[0]];
+            } else if drawn > best[1] {
+                best[1] = drawn;
+            }
+        }
+        let (_, first) = best[0]?;
+        let Some((_, second)) = best[1] else {
+            return Some(first);
+        };
+        Some(
+            if self.servers[second].in_flight < self.servers[first].in_flight {
+                second
+            } else {
+                first
+            },
+        )
+    }
+
+    fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
+        let server = &self.servers[place];
+        if op.pushes.iter().any(|push| push.server == place) || !self.may_repeat_on(now, op, server) {
+            return false;
+        }
+        if server.to_prove > 0 {
+            let on_trial = now >= server.trial_from && server.in_flight == 0 && op.pushes.is_empty();
+            return on_trial && self.may_try_out(op) && self.bears(now, server, op.work);
+        }
+        !self.is_silent(now, server) && self.bears(now, server, op.work)
+    }
+
+    /// A server that failed is tried with the ops that lose least if it fails again.
+    fn may_try_out(&self, op: &Op) -> bool {
+        let risk = |category: &crate::terms::Category| match category.repeats {
+            Repeats::Redeliverable => 0,
+            Repeats::Deduplicated { .. } => 1,
+            Repeats::AtMostOnce => 2,
+        };
+        let own = risk(&self.terms.categories[usize::from(op.arrival.category.0)]);
+        self.terms.categories.iter().all(|category| own <= risk(category))
+    }
+
+    /// Guards against doing an effect twice: what may have run is repeated only where and while repeats are dropped.
+    fn may_repeat_on(&self, now: At, op: &Op, server: &Server) -> bool {
+        let repeats = self.terms.categories[usize::from(op.arrival.category.0)].repeats;
+        op.pushes
+            .iter()
+            .filter(|push| push.out || push.may_have_run)
+            .all(|push| match repeats {
+                Repeats::Redeliverable => true,
+                Repeats::AtMostOnce => false,
+                Repeats::Deduplicated { group, window } => {
+                    let earlier = &self.servers[push.server];
+                    let shares_group = match group {
+                        DedupGroup::All => true,
+                        DedupGroup::Zone => earlier.zone == server.zone,
+                        DedupGroup::Cell => earlier.cell == server.cell,
+                    };
+                    shares_group && now - push.at < window
+                }
+            })
+    }
+
+    // Health.
+
+    fn pace(&self, kind: KindId, part: f64) -> Option<f64> {
+        self.fleet
+            .quantile(part, |sample| (sample.kind == kind).then_some(sample.pace))
+    }
+
+    fn took(&self, part: f64) -> Option<Span> {
+        self.fleet
+            .quantile(part, |sample| Some(sample.took.secs()))
+            .map(Span::from_secs)
+    }
+
+    /// How long an op of this work may stay unanswered on a server of this kind before that means something.
+    fn patience(&self, kind: KindId, work: f64) -> Option<Span> {
+        let usual = self.took(0.9)?;
+        let own = self
+            .pace(kind, 0.5)
+            .map_or(usual, |pace| Span::from_secs(ILL_MULTIPLE * pace * work));
+        Some(usual.max(own))
+    }
+
+    /// Guards against a server that takes ops and answers none, while others answer.
+    fn is_silent(&self, now: At, server: &Server) -> bool {
+        let Some(since) = server.owes_since else {
+            return false;
+        };
+        if self.answered_at.is_none_or(|at| at <= since) {
+            return false;
+        }
+        self.patience(server.kind, server.owed_work)
+            .is_some_and(|patience| now - since > patience)
+    }
+
+    fn set_aside(&mut self, now: At, place: usize, why: &str) {
+        let wait = self.took(0.9).unwrap_or(Span::from_secs(1.0));
+        let server = &mut self.servers[place];
+        let wait = wait.times(f64::from(2u32 << server.relapses.min(3)) * (0.75 + 0.5 * self.rng.unit()));
+        server.relapses += 1;
+        server.to_prove = 1 + server.relapses.min(4);
+        server.trial_from = now + wait;
+        server.samples = Ring::new();
+        let line = format!("upstream {} set aside for {} ms: {why}", server.id.0, wait.0 / 10);
+        self.host.log(&line);
+    }
+
+    /// When most servers look ill the fault is not theirs, and without them the rest would drown.
+    fn can_spare(&self, place: usize) -> bool {
+        let (mut ready, mut trusted) = (0.0, 0.0);
+        for (other, server) in self.servers.iter().enumerate().filter(|(_, server)| server.ready) {
+            ready += server.size;
+            if server.to_prove == 0 && other != place {
+                trusted += server.size;
+            }
+        }
+        trusted * 2.0 >= ready
+    }
+
+    // What a server bears.
+
+    fn cold_share(&self, now: At, server: &Server) -> f64 {
+        let cold = &self.terms.cold;
+        let Some(since) = server.cold_from else { return 1.0 };
+        let warmed = (now - since).secs() / cold.warm_within.secs().max(1e-4);
+        (cold.least_share + (1.0 - cold.least_share) * warmed).clamp(0.0, 1.0)
+    }
+
+    fn bears(&self, now: At, server: &Server, work: f64) -> bool {
+        let share = self.cold_share(now, server);
+        let in_flight = f64::from(server.in_flight);
+        if share >= 1.0 {
+            return in_flight < server.limit.max(1.0);
+        }
+        // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
+        // and as every balancer keeps to that on its own pushes, all of them together do.
+        let window = self.terms.cold.fall_window;
+        let pushed = |server: &Server| -> f64 {
+            server
+                .sent
+                .iter()
+                .filter(|(at, _)| now - *at < window)
+                .map(|(_, work)| work)
+                .sum()
+        };
+        let (mut warm, mut warm_size) = (0.0, 0.0);
+        for other in self
+            .servers
+            .iter()
+            .filter(|other| other.ready && other.to_prove == 0)
+        {
+            if other.kind == server.kind && self.cold_share(now, other) >= 1.0 {
+                warm += pushed(other);
+                warm_size += other.size;
+            }
+        }
+        let sent = pushed(server);
+        if sent == 0.0 && in_flight == 0.0 {
+            return true;
+        }
+        if warm_size == 0.0 {
+            return in_flight == 0.0;
+        }
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * warm / warm_size * server.size;
+        sent + work <= budget && in_flight < (server.limit * share).max(1.0)
+    }
+
+    // Pushes.
+
+    fn place(&mut self, now: At, op: OpId) -> bool {
+        let Some(place) = self.choose(now, op) else {
+            return false;
+        };
+        let patience = self.patience(self.servers[place].kind, self.ops[&op].work);
+        let state = self.ops.get_mut(&op).expect("an op that is placed is held");
+        state.queued = false;
+        state.pushes.push(Push {
+            server: place,
+            at: now,
+            out: true,
+            may_have_run: false,
+        });
+        let server = &mut self.servers[place];
+        server.in_flight += 1;
+        server.owes_since.get_or_insert(now);
+        server.owed_work = server.owed_work.max(state.work);
+        while server
+            .sent
+            .front()
+            .is_some_and(|(at, _)| now - *at >= self.terms.cold.fall_window)
+        {
+            server.sent.pop_front();
+        }
+        server.sent.push_back((now, state.work));
+        self.out += 1;
+        self.host.push(op, server.id, None);
+        let category = &self.terms.categories[usize::from(state.arrival.category.0)];
+        if category.repeats != Repeats::AtMostOnce {
+            let patience = patience.unwrap_or(category.target_latency.times(0.5));
+            state.due = now + patience;
+            if state.due < state.ends {
+                self.host.alarm(state.due, AlarmId(u64::from(op.0)));
+            }
+        }
+        true
+    }
+
+    /// No further pushes while overload is seen: they would feed it.
+    fn may_push_again(&self, now: At, op: OpId) -> bool {
+        let state = &self.ops[&op];
+        let in_time = state.ends - now > self.took(0.5).unwrap_or(Span::ZERO);
+        state.pushes.len() < MOST_PUSHES.min(self.terms.max_pushes.into()) && in_time && !self.is_crowded(now)
+    }
+
+    fn is_crowded(&self, now: At) -> bool {
+        let recent = self.took(0.9).unwrap_or(Span::from_secs(1.0));
+        !self.queue.is_empty() || self.crowded_at.is_some_and(|at| now - at < recent)
+    }
+
+    pub fn alarm_rang(&mut self, now: At, alarm: AlarmId) {
+        if alarm == ASK_LIST {
+            return self.host.watch_list();
+        }
+        let op = OpId(alarm.0 as u32);
+        let Some(state) = self.ops.get(&op) else { return };
+        if now < state.due || state.streaming {
+            return;
+        }
+        if state.queued {
+            return self.give_up(now, op);
+        }
+        if self.may_push_again(now, op) && self.terms.second_copies {
+            self.place(now, op);
+        }
+    }
+
+    pub fn push_ended(&mut self, now: At, end: PushEnd) {
+        let Some(&place) = self.places.get(&end.upstream) else {
+            return;
+        };
+        self.out = self.out.saturating_sub(1);
+        self.note_ending(now, place, &end);
+        let server = &mut self.servers[place];
+        server.in_flight = server.in_flight.saturating_sub(1);
+        let answered = !matches!(
+            end.ending,
+            Ending::Cancelled | Ending::TimedOut | Ending::NeverSent
+        );
+        if answered {
+            server.owes_since = None;
+            self.answered_at = Some(now);
+        }
+        if server.in_flight == 0 {
+            server.owes_since = None;
+            server.owed_work = 0.0;
+        } else if answered {
+            server.owes_since = Some(now);
+        }
+        if let Some(state) = self.ops.get_mut(&end.op) {
+            if let Some(push) = state.pushes.get_mut(usize::from(end.push.0)) {
+                push.out = false;
+                push.may_have_run = !never_ran(end.ending);
+            }
+            if end.concluded {
+                self.forget(end.op);
+            } else if !self.ops[&end.op].pushes.iter().any(|push| push.out) {
+                self.go_on(now, end.op);
+            }
+        }
+        self.serve_queue(now);
+    }
+
+    fn note_ending(&mut self, now: At, place: usize, end: &PushEnd) {
+        let silent = self.is_silent(now, &self.servers[place]);
+        let server = &mut self.servers[place];
+        match end.ending {
+            Ending::Acked => self.note_answer(now, place, end),
+            Ending::Error => self.set_aside(now, place, "an error"),
+            Ending::Full => {
+                self.crowded_at = Some(now);
+                self.cut_limit(now, place, end.took);
+            }
+            Ending::ConnectFailed | Ending::Reset => {
+                // It may be starting anew, which the list will tell only seconds later.
+                server.cold_from = Some(now);
+                self.set_aside(now, place, "its connection failed");
+            }
+            Ending::TimedOut | Ending::Cancelled => {
+                if silent && server.to_prove == 0 && self.can_spare(place) {
+                    self.set_aside(now, place, "no answer");
+                }
+            }
+            Ending::NeverSent => {}
+        }
+    }
+
+    fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
+        let Some(state) = self.ops.get(&end.op) else {
+            return;
+        };
+        let (kind, pace) = (self.servers[place].kind, end.took.secs() / state.work);
+        let category = &self.terms.categories[usize::from(state.arrival.category.0)];
+        // Time beyond what the op's own work explains was spent waiting at the server.
+        let waited = end.took.secs() - state.work * self.pace(kind, 0.25).unwrap_or(pace);
+        let waited = waited / category.target_latency.secs().max(1e-4);
+        let usual = self.pace(kind, 0.5);
+        let sample = Sample {
+            kind,
+            took: end.took,
+            pace,
+        };
+        self.fleet.put(sample);
+        let server = &mut self.servers[place];
+        server.samples.put(sample);
+        if server.samples.0.len() == SERVER_SAMPLES {
+            server.relapses = 0;
+        }
+        let on_trial = server.to_prove > 0;
+        server.to_prove = server.to_prove.saturating_sub(1);
+        let enough = if on_trial { 1 } else { SERVER_SAMPLES / 2 };
+        let own = server
+            .samples
+            .quantile(0.5, |sample| Some(sample.pace))
+            .unwrap_or(pace);
+        let is_slow =
+            server.samples.0.len() >= enough && usual.is_some_and(|usual| own > ILL_MULTIPLE * usual);
+        if waited > LATE_WAIT {
+            self.cut_limit(now, place, end.took);
+        } else if waited < LATE_WAIT / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
+            server.limit += 1.0 / server.limit;
+        }
+        if is_slow && self.can_spare(place) {
+            self.set_aside(now, place, "slower than its kind");
+        }
+    }
+
+    /// One cut for all that was pushed before it: what was out already says nothing of the smaller limit.
+    fn cut_limit(&mut self, now: At, place: usize, took: Span) {
+        let server = &mut self.servers[place];
+        if now - server.cut_at > took {
+            server.cut_at = now;
+            let used = server.limit.min(f64::from(server.in_flight) + 1.0);
+            server.limit = (used * LIMIT_KEPT).max(1.0);
+        }
+    }
+
+    /// Nothing of the op is out, and it is not answered.
+    fn go_on(&mut self, now: At, op: OpId) {
+        if self.may_push_again(now, op) {
+            if self.place(now, op) {
+                return;
+            }
+            if !self.ops[&op].pushes.iter().any(|push| push.may_have_run) {
+                return self.enqueue(now, op);
+            }
+        }
+        self.give_up(now, op);
+    }
+
+    // Waiting and final answers.
+
+    fn enqueue(&mut self, now: At, op: OpId) {
+        self.crowded_at = Some(now);
+        let pace = self
+            .fleet
+            .quantile(0.5, |sample| Some(sample.pace))
+            .unwrap_or(0.0);
+        let state = self.ops.get_mut(&op).expect("an op that waits is held");
+        state.due = At(state
+            .target
+            .0
+            .saturating_sub(Span::from_secs(pace * state.work).0));
+        // Nothing out means that no room will come free: a quick nack beats a wait for one.
+        if state.due <= now || self.out == 0 {
+            return self.give_up(now, op);
+        }
+        state.queued = true;
+        self.host.alarm(state.due, AlarmId(u64::from(op.0)));
+        let (benefit, target) = (state.benefit, state.target);
+        let ahead = |other: &OpId| {
+            let other = &self.ops[other];
+            other
+                .benefit
+                .total_cmp(&benefit)
+                .reverse()
+                .then(other.target.cmp(&target))
+                .is_le()
+        };
+        let place = self.queue.partition_point(ahead);
+        self.queue.insert(place, op);
+        let turn = self.took(0.5).unwrap_or(Span::ZERO).secs() / f64::from(self.out);
+        while let Some(&last) = self.queue.last() {
+            if now + Span::from_secs(turn * self.queue.len() as f64) <= self.ops[&last].due {
+                break;
+            }
+            self.give_up(now, last);
+        }
+    }
+
+    fn serve_queue(&mut self, now: At) {
+        while let Some(&first) = self.queue.first() {
+            if !self.place(now, first) {
+                return;
+            }
+            self.queue.remove(0);
+        }
+    }
+
+    fn give_up(&mut self, now: At, op: OpId) {
+        let state = &self.ops[&op];
+        let may_have_run = state.pushes.iter().any(|push| push.out || push.may_have_run);
+        let harmless = match self.terms.categories[usize::from(state.arrival.category.0)].repeats {
+            Repeats::Redeliverable
+            | Repeats::Deduplicated {
+                group: DedupGroup::All,
+                ..
+            } => true,
+            Repeats::Deduplicated { .. } | Repeats::AtMostOnce => !may_have_run,
+        };
+        if !harmless {
+            self.host.dead_letter(op);
+        } else if self.is_crowded(now) {
+            let usual = self.took(0.9).unwrap_or(Span::from_secs(1.0));
+            let wait = usual.times(0.5 + self.rng.unit());
+            self.host
+                .nack(op, self.terms.longest_stay_away.map(|most| wait.min(most)));
+        } else {
+            self.host.nack(op, None);
+        }
+        self.forget(op);
+    }
+
+    fn forget(&mut self, op: OpId) {
+        let Some(state) = self.ops.remove(&op) else { return };
+        if state.queued {
+            self.queue.retain(|&queued| queued != op);
+        }
+        if self.terms.cancelling && !state.streaming {
+            for (number, _) in state.pushes.iter().enumerate().filter(|(_, push)| push.out) {
+                self.host.cancel(op, PushNo(number as u16));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/rng.rs
@@ -0,0 +1,24 @@
+/// PCG XSH-RR 64/32 (O'Neill 2014): small enough to read, and the same on every machine.
+pub struct Pcg(u64);
+
+impl Pcg {
+    const STEP: u64 = 6364136223846793005;
+    const STREAM: u64 = 1442695040888963407;
+
+    pub fn new(seed: u64) -> Pcg {
+        let mut pcg = Pcg(seed.wrapping_add(Self::STREAM));
+        pcg.draw();
+        pcg
+    }
+
+    pub fn draw(&mut self) -> u32 {
+        let state = self.0;
+        self.0 = state.wrapping_mul(Self::STEP).wrapping_add(Self::STREAM);
+        ((((state >> 18) ^ state) >> 27) as u32).rotate_right((state >> 59) as u32)
+    }
+
+    /// Evenly from 0 up to, but not including, 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.draw()) / 4294967296.0
+    }
+}
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,52 @@
+//! What a balancer is told once, at its start.
+
+use crate::ids::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Redeliverable,
+    Deduplicated { group: DedupGroup, window: Span },
+    AtMostOnce,
+}
+
+#[derive(Clone, Debug)]
+pub struct Category {
+    pub benefit: f64,
+    pub target_latency: Span,
+    /// The target latency grows by this multiple of the op's own work.
+    pub target_stretch: f64,
+    pub ttl: Span,
+    pub repeats: Repeats,
+}
+
+#[derive(Clone, Debug)]
+pub struct ColdStart {
+    pub least_share: f64,
+    pub warm_within: Span,
+    pub fall_multiple: f64,
+    pub fall_window: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct StartTerms {
+    pub categories: Vec<Category>,
+    /// Ops a second of each tenant, through all balancers, that carry full benefit.
+    pub tenant_shares: Vec<f64>,
+    pub balancers: u32,
+    pub overage_benefit: f64,
+    pub max_pushes: u16,
+    pub second_copies: bool,
+    pub cancelling: bool,
+    /// The longest stay-away that clients follow; none where they are given no such advice.
+    pub longest_stay_away: Option<Span>,
+    pub list_must_be_asked: bool,
+    pub ask_within: Span,
+    pub cold: ColdStart,
+}
