--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,7 +28,7 @@
 /// Where a limit starts: room for a burst on a server of a few cores, cut soon if that is too much.
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
-const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.4;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
@@ -68,6 +68,26 @@
     pace: f64,
 }
 
+#[derive(Default)]
+struct Work(VecDeque<(At, f64)>);
+
+impl Work {
+    fn put(&mut self, now: At, window: Span, work: f64) {
+        while self.0.front().is_some_and(|(at, _)| now - *at >= window) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, work));
+    }
+
+    fn within(&self, now: At, window: Span) -> f64 {
+        self.0
+            .iter()
+            .filter(|(at, _)| now - *at < window)
+            .map(|(_, work)| work)
+            .sum()
+    }
+}
+
 struct Server {
     id: UpstreamId,
     kind: KindId,
@@ -89,8 +109,9 @@
     to_prove: u32,
     trial_from: At,
     relapses: u32,
-    /// What was pushed within the fall window.
-    sent: VecDeque<(At, f64)>,
+    /// The work pushed, and the work answered, within the fall window.
+    sent: Work,
+    answered: Work,
 }
 
 #[derive(Clone, Copy)]
@@ -260,7 +281,7 @@
                 up_since: row.up_since,
                 cold_from: started,
                 in_flight: 0,
-                limit: FIRST_LIMIT,
+                limit: if started.is_some() { 1.0 } else { FIRST_LIMIT },
                 cut_at: now,
                 samples: Ring::new(),
                 owes_since: None,
@@ -268,7 +289,8 @@
                 to_prove: 0,
                 trial_from: now,
                 relapses: 0,
-                sent: VecDeque::new(),
+                sent: Work::default(),
+                answered: Work::default(),
             });
             return;
         };
@@ -278,6 +300,7 @@
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
             server.cold_from = started.max(server.cold_from);
+            server.limit = if started.is_some() { 1.0 } else { server.limit };
             server.samples = Ring::new();
         }
     }
@@ -602,34 +625,30 @@
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
         let window = self.terms.cold.fall_window;
-        let pushed = |server: &Server| -> f64 {
-            server
-                .sent
-                .iter()
-                .filter(|(at, _)| now - *at < window)
-                .map(|(_, work)| work)
-                .sum()
-        };
+        let sent = server.sent.within(now, window);
+        if sent == 0.0 && in_flight == 0.0 {
+            return self
+                .hints
+                .quantile(0.5, |&hint| Some(hint))
+                .is_none_or(|usual| work <= 2.0 * usual);
+        }
+        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do.
         let (mut warm, mut warm_size) = (0.0, 0.0);
         for other in self
             .servers
             .iter()
-            .filter(|other| other.ready && other.to_prove == 0)
+            .filter(|other| other.ready && other.kind == server.kind)
         {
-            if other.kind == server.kind && self.cold_share(now, other) >= 1.0 {
-                warm += pushed(other);
+            if self.cold_share(now, other) >= 1.0 && other.to_prove == 0 {
+                warm += other.answered.within(now, window);
                 warm_size += other.size;
             }
         }
-        let sent = pushed(server);
-        if sent == 0.0 && in_flight == 0.0 {
-            return true;
-        }
         if warm_size == 0.0 {
             return in_flight == 0.0;
         }
         let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * warm / warm_size * server.size;
-        sent + work <= budget && in_flight < (server.limit * share).max(1.0)
+        sent + work <= budget && in_flight < server.limit.max(1.0)
     }
 
     // Pushes.
@@ -651,14 +670,7 @@
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
-        while server
-            .sent
-            .front()
-            .is_some_and(|(at, _)| now - *at >= self.terms.cold.fall_window)
-        {
-            server.sent.pop_front();
-        }
-        server.sent.push_back((now, state.work));
+        server.sent.put(now, self.terms.cold.fall_window, state.work);
         self.out += 1;
         self.host.push(op, server.id, None);
         let category = &self.terms.categories[usize::from(state.arrival.category.0)];
@@ -750,6 +762,7 @@
             Ending::ConnectFailed | Ending::Reset => {
                 // It may be starting anew, which the list will tell only seconds later.
                 server.cold_from = Some(now);
+                server.limit = 1.0;
                 self.set_aside(now, place, "its connection failed");
             }
             Ending::TimedOut | Ending::Cancelled => {
@@ -779,6 +792,7 @@
         self.fleet.put(sample);
         let server = &mut self.servers[place];
         server.samples.put(sample);
+        server.answered.put(now, self.terms.cold.fall_window, state.work);
         if server.samples.0.len() == SERVER_SAMPLES {
             server.relapses = 0;
         }
