--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,7 +28,7 @@
 /// Where a limit starts: room for a burst on a server of a few cores, cut soon if that is too much.
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
-const COLD_MARGIN: f64 = 0.4;
+const COLD_MARGIN: f64 = 0.2;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
@@ -626,28 +626,27 @@
         // and as every balancer keeps to that on its own pushes, all of them together do.
         let window = self.terms.cold.fall_window;
         let sent = server.sent.within(now, window);
-        if sent == 0.0 && in_flight == 0.0 {
-            return self
-                .hints
-                .quantile(0.5, |&hint| Some(hint))
-                .is_none_or(|usual| work <= 2.0 * usual);
-        }
-        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do.
-        let (mut warm, mut warm_size) = (0.0, 0.0);
-        for other in self
-            .servers
-            .iter()
-            .filter(|other| other.ready && other.kind == server.kind)
-        {
-            if self.cold_share(now, other) >= 1.0 && other.to_prove == 0 {
-                warm += other.answered.within(now, window);
-                warm_size += other.size;
-            }
-        }
-        if warm_size == 0.0 {
-            return in_flight == 0.0;
-        }
-        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * warm / warm_size * server.size;
+        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of the
+        // weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
+        let warm = |other: &&Server| {
+            let is_known = other.ready && other.kind == server.kind && other.to_prove == 0;
+            is_known && self.cold_share(now, other) >= 1.0
+        };
+        let warm = self.servers.iter().filter(warm);
+        let mut borne: Vec<f64> = warm
+            .map(|other| other.answered.within(now, window) / other.size)
+            .collect();
+        if borne.is_empty() {
+            // Nobody to go by: one op at a time, which a server can only finish as fast as it is able to.
+            return in_flight == 0.0
+                && self
+                    .hints
+                    .quantile(0.5, |&hint| Some(hint))
+                    .is_none_or(|usual| work <= usual);
+        }
+        let weak = borne.len() / 4;
+        let weak = *borne.select_nth_unstable_by(weak, f64::total_cmp).1;
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * weak * server.size;
         sent + work <= budget && in_flight < server.limit.max(1.0)
     }
 
