--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod ids;
 pub mod policy;
 pub mod rng;
+pub mod samples;
 pub mod terms;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 use crate::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
 use crate::ids::{AlarmId, At, CategoryId, CellId, KindId, OpId, PushNo, Span, TenantId, UpstreamId, ZoneId};
 use crate::rng::Pcg;
+use crate::samples::{Ring, Work};
 use crate::terms::{DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
@@ -15,6 +16,8 @@
 const FLEET_SAMPLES: usize = 128;
 /// A server's own: a handful decides whether it is ill before it has cost many ops.
 const SERVER_SAMPLES: usize = 8;
+/// Paces of past rounds of fleet samples: long enough that a jam of half a minute does not pass for usual.
+const FLOORS: usize = 32;
 /// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
 const HINTS: usize = 256;
 /// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
@@ -32,33 +35,6 @@
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
-struct Ring<T, const N: usize>(VecDeque<T>);
-
-impl<T: Copy, const N: usize> Ring<T, N> {
-    fn new() -> Self {
-        Ring(VecDeque::with_capacity(N))
-    }
-
-    fn put(&mut self, sample: T) {
-        if self.0.len() == N {
-            self.0.pop_front();
-        }
-        self.0.push_back(sample);
-    }
-
-    fn quantile(&self, part: f64, figure: impl Fn(&T) -> Option<f64>) -> Option<f64> {
-        let mut figures = [0.0; N];
-        let mut len = 0;
-        for found in self.0.iter().filter_map(figure) {
-            figures[len] = found;
-            len += 1;
-        }
-        let last = len.checked_sub(1)?;
-        let place = (last as f64 * part).round() as usize;
-        Some(*figures[..len].select_nth_unstable_by(place, f64::total_cmp).1)
-    }
-}
-
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
 struct Sample {
@@ -68,26 +44,6 @@
     pace: f64,
 }
 
-#[derive(Default)]
-struct Work(VecDeque<(At, f64)>);
-
-impl Work {
-    fn put(&mut self, now: At, window: Span, work: f64) {
-        while self.0.front().is_some_and(|(at, _)| now - *at >= window) {
-            self.0.pop_front();
-        }
-        self.0.push_back((now, work));
-    }
-
-    fn within(&self, now: At, window: Span) -> f64 {
-        self.0
-            .iter()
-            .filter(|(at, _)| now - *at < window)
-            .map(|(_, work)| work)
-            .sum()
-    }
-}
-
 struct Server {
     id: UpstreamId,
     kind: KindId,
@@ -154,6 +110,9 @@
     /// Ops that no push may have run, best benefit first, then by target.
     queue: Vec<OpId>,
     fleet: Ring<Sample, FLEET_SAMPLES>,
+    /// The quicker paces of each kind, one for each round of fleet samples.
+    floors: Ring<(KindId, f64), FLOORS>,
+    answers: usize,
     hints: Ring<f64, HINTS>,
     hints_seen: usize,
     tip_bound: f64,
@@ -228,6 +187,8 @@
             ops: BTreeMap::new(),
             queue: Vec::new(),
             fleet: Ring::new(),
+            floors: Ring::new(),
+            answers: 0,
             hints: Ring::new(),
             hints_seen: 0,
             tip_bound: 0.0,
@@ -383,7 +344,7 @@
         if self.hints_seen % HINTS_BETWEEN_BOUNDS != 0 {
             return;
         }
-        let mut hints: Vec<f64> = self.hints.0.iter().copied().collect();
+        let mut hints: Vec<f64> = self.hints.iter().copied().collect();
         hints.sort_unstable_by(f64::total_cmp);
         let mut left = hints.iter().sum::<f64>() * table.tip_share;
         self.tip_bound = 0.0;
@@ -562,6 +523,28 @@
             .map(Span::from_secs)
     }
 
+    /// The pace of a kind when nothing holds it up. In a jam the latest samples all tell of waiting, so that
+    /// the waiting would pass for the servers' own slowness.
+    fn unhindered_pace(&self, kind: KindId) -> Option<f64> {
+        let floors = self
+            .floors
+            .iter()
+            .filter(|(of, _)| *of == kind)
+            .map(|(_, pace)| *pace);
+        floors.min_by(f64::total_cmp).or_else(|| self.pace(kind, 0.25))
+    }
+
+    fn note_floors(&mut self) {
+        let mut kinds: Vec<KindId> = self.fleet.iter().map(|sample| sample.kind).collect();
+        kinds.sort_unstable();
+        kinds.dedup();
+        for kind in kinds {
+            if let Some(pace) = self.pace(kind, 0.25) {
+                self.floors.put((kind, pace));
+            }
+        }
+    }
+
     /// How long an op of this work may stay unanswered on a server of this kind before that means something.
     fn patience(&self, kind: KindId, work: f64) -> Option<Span> {
         let usual = self.took(0.9)?;
@@ -777,10 +760,11 @@
         let Some(state) = self.ops.get(&end.op) else {
             return;
         };
-        let (kind, pace) = (self.servers[place].kind, end.took.secs() / state.work);
+        let (kind, work) = (self.servers[place].kind, state.work);
+        let pace = end.took.secs() / work;
         let category = &self.terms.categories[usize::from(state.arrival.category.0)];
         // Time beyond what the op's own work explains was spent waiting at the server.
-        let waited = end.took.secs() - state.work * self.pace(kind, 0.25).unwrap_or(pace);
+        let waited = end.took.secs() - work * self.unhindered_pace(kind).unwrap_or(pace);
         let waited = waited / category.target_latency.secs().max(1e-4);
         let usual = self.pace(kind, 0.5);
         let sample = Sample {
@@ -789,10 +773,14 @@
             pace,
         };
         self.fleet.put(sample);
+        self.answers += 1;
+        if self.answers.is_multiple_of(FLEET_SAMPLES / 2) {
+            self.note_floors();
+        }
         let server = &mut self.servers[place];
         server.samples.put(sample);
-        server.answered.put(now, self.terms.cold.fall_window, state.work);
-        if server.samples.0.len() == SERVER_SAMPLES {
+        server.answered.put(now, self.terms.cold.fall_window, work);
+        if server.samples.len() == SERVER_SAMPLES {
             server.relapses = 0;
         }
         let on_trial = server.to_prove > 0;
@@ -802,8 +790,7 @@
             .samples
             .quantile(0.5, |sample| Some(sample.pace))
             .unwrap_or(pace);
-        let is_slow =
-            server.samples.0.len() >= enough && usual.is_some_and(|usual| own > ILL_MULTIPLE * usual);
+        let is_slow = server.samples.len() >= enough && usual.is_some_and(|usual| own > ILL_MULTIPLE * usual);
         if waited > LATE_WAIT {
             self.cut_limit(now, place, end.took);
         } else if waited < LATE_WAIT / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
