--- a/src/policy.rs
+++ b/src/policy.rs
@@ -523,6 +523,16 @@
             .map(Span::from_secs)
     }
 
+    /// A server does not know whose ops wait: the category with the least time to lose sets the bound.
+    fn least_target(&self) -> Span {
+        self.terms
+            .categories
+            .iter()
+            .map(|category| category.target_latency)
+            .min()
+            .unwrap_or(Span::ZERO)
+    }
+
     /// The pace of a kind when nothing holds it up. In a jam the latest samples all tell of waiting, so that
     /// the waiting would pass for the servers' own slowness.
     fn unhindered_pace(&self, kind: KindId) -> Option<f64> {
@@ -762,10 +772,9 @@
         };
         let (kind, work) = (self.servers[place].kind, state.work);
         let pace = end.took.secs() / work;
-        let category = &self.terms.categories[usize::from(state.arrival.category.0)];
         // Time beyond what the op's own work explains was spent waiting at the server.
         let waited = end.took.secs() - work * self.unhindered_pace(kind).unwrap_or(pace);
-        let waited = waited / category.target_latency.secs().max(1e-4);
+        let waited = waited / self.least_target().secs().max(1e-4);
         let usual = self.pace(kind, 0.5);
         let sample = Sample {
             kind,
