--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,8 +28,8 @@
 const LIMIT_KEPT: f64 = 0.8;
 /// The part of the target latency that an op may spend waiting at a server before the server counts as too full.
 const LATE_WAIT: f64 = 0.5;
-/// Where a limit starts: room for a burst on a server of a few cores, cut soon if that is too much.
-const FIRST_LIMIT: f64 = 8.0;
+/// Where a server's limits start, for all balancers together: enough for a few cores, and it grows on good answers.
+const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
 const COLD_MARGIN: f64 = 0.2;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
@@ -227,6 +227,7 @@
 
     fn note_listing(&mut self, now: At, row: &Listing) {
         let started = row.up_since.filter(|&up| now - up < self.terms.cold.warm_within);
+        let first_limit = FIRST_LIMIT / f64::from(self.terms.balancers.max(1));
         let Some(&place) = self.places.get(&row.upstream) else {
             if row.condition == Condition::Gone {
                 return;
@@ -242,7 +243,7 @@
                 up_since: row.up_since,
                 cold_from: started,
                 in_flight: 0,
-                limit: if started.is_some() { 1.0 } else { FIRST_LIMIT },
+                limit: if started.is_some() { 1.0 } else { first_limit },
                 cut_at: now,
                 samples: Ring::new(),
                 owes_since: None,
