--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
 /// The part of the target latency that an op may spend waiting at a server before the server counts as too full.
-const LATE_WAIT: f64 = 0.5;
+const LATE_WAIT: f64 = 0.25;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and it grows on good answers.
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
