--- a/src/policy.rs
+++ b/src/policy.rs
@@ -580,6 +580,10 @@
     fn set_aside(&mut self, now: At, place: usize, why: &str) {
         let wait = self.took(0.9).unwrap_or(Span::from_secs(1.0));
         let server = &mut self.servers[place];
+        // What was out when it was set aside fails together: one failure, not a relapse for each.
+        if server.to_prove > 0 && now < server.trial_from {
+            return;
+        }
         let wait = wait.times(f64::from(2u32 << server.relapses.min(3)) * (0.75 + 0.5 * self.rng.unit()));
         server.relapses += 1;
         server.to_prove = 1 + server.relapses.min(4);
@@ -776,7 +780,6 @@
         // Time beyond what the op's own work explains was spent waiting at the server.
         let waited = end.took.secs() - work * self.unhindered_pace(kind).unwrap_or(pace);
         let waited = waited / self.least_target().secs().max(1e-4);
-        let usual = self.pace(kind, 0.5);
         let sample = Sample {
             kind,
             took: end.took,
@@ -793,22 +796,12 @@
         if server.samples.len() == SERVER_SAMPLES {
             server.relapses = 0;
         }
-        let on_trial = server.to_prove > 0;
         server.to_prove = server.to_prove.saturating_sub(1);
-        let enough = if on_trial { 1 } else { SERVER_SAMPLES / 2 };
-        let own = server
-            .samples
-            .quantile(0.5, |sample| Some(sample.pace))
-            .unwrap_or(pace);
-        let is_slow = server.samples.len() >= enough && usual.is_some_and(|usual| own > ILL_MULTIPLE * usual);
         if waited > LATE_WAIT {
             self.cut_limit(now, place, end.took);
         } else if waited < LATE_WAIT / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
             server.limit += 1.0 / server.limit;
         }
-        if is_slow && self.can_spare(place) {
-            self.set_aside(now, place, "slower than its kind");
-        }
     }
 
     /// One cut for all that was pushed before it: what was out already says nothing of the smaller limit.
