--- a/src/policy.rs
+++ b/src/policy.rs
@@ -390,10 +390,31 @@
             .map_or(table.default, |(kind, _)| *kind)
     }
 
+    /// Guards against heavy ops that are lost by the table alone: one that cannot make its target in its own
+    /// group, by that group's unhindered pace, goes to the group with the quickest pace if it can make it there.
+    fn fitting(&self, now: At, table: &Table, op: &Op, home: KindId) -> KindId {
+        let left = (op.target - now).secs();
+        let needs = |kind: KindId| self.unhindered_pace(kind).map(|pace| pace * op.work);
+        if needs(home).is_none_or(|needed| needed <= left) {
+            return home;
+        }
+        let groups = table
+            .ranges
+            .iter()
+            .map(|(kind, _)| *kind)
+            .chain([table.default])
+            .chain(table.tip);
+        let timed = groups.filter_map(|kind| Some((kind, needs(kind)?)));
+        let quickest = timed.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        quickest
+            .filter(|(_, needed)| *needed <= left)
+            .map_or(home, |(kind, _)| kind)
+    }
+
     fn choose(&mut self, now: At, op: OpId) -> Option<usize> {
         let op = &self.ops[&op];
         let table = self.table.as_ref()?;
-        let home = self.home(table, op);
+        let home = self.fitting(now, table, op, self.home(table, op));
         let groups = [
             Some(home),
             Some(table.default).filter(|&default| default != home),
