--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,9 @@
     /// Good answers that it still has to give on trial; none are owed by a trusted server.
     to_prove: u32,
     trial_from: At,
+    /// Turned away as full this often in a row, and left alone until then.
+    fulls: u32,
+    rests_until: At,
     relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
     sent: Work,
@@ -250,6 +253,8 @@
                 owed_work: 0.0,
                 to_prove: 0,
                 trial_from: now,
+                fulls: 0,
+                rests_until: now,
                 relapses: 0,
                 sent: Work::default(),
                 answered: Work::default(),
@@ -497,7 +502,7 @@
             let on_trial = now >= server.trial_from && server.in_flight == 0 && op.pushes.is_empty();
             return on_trial && self.may_try_out(op) && self.bears(now, server, op.work);
         }
-        !self.is_silent(now, server) && self.bears(now, server, op.work)
+        now >= server.rests_until && !self.is_silent(now, server) && self.bears(now, server, op.work)
     }
 
     /// A server that failed is tried with the ops that lose least if it fails again.
@@ -774,8 +779,12 @@
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.set_aside(now, place, "an error"),
             Ending::Full => {
-                self.crowded_at = Some(now);
                 self.cut_limit(now, place, end.took);
+                // A full server answers at once and so looks idle: without a rest it would draw op after op.
+                let usual = self.took(0.5).unwrap_or(Span::from_secs(0.1));
+                let server = &mut self.servers[place];
+                server.rests_until = now + usual.times(f64::from(1u32 << server.fulls.min(5)));
+                server.fulls += 1;
             }
             Ending::ConnectFailed | Ending::Reset => {
                 // It may be starting anew, which the list will tell only seconds later.
@@ -818,6 +827,7 @@
             server.relapses = 0;
         }
         server.to_prove = server.to_prove.saturating_sub(1);
+        server.fulls = 0;
         if waited > LATE_WAIT {
             self.cut_limit(now, place, end.took);
         } else if waited < LATE_WAIT / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
