--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -10,24 +10,18 @@
 
 impl Facts<'_> {
     fn text(&self, path: &str) -> Result<&str, String> {
-        self.0
-            .get(path)
-            .copied()
-            .ok_or_else(|| format!("start fact {path}"))
+        self.0.get(path).copied().ok_or_else(|| format!("start fact {path}"))
     }
 
     fn value<T: FromStr>(&self, path: &str) -> Result<T, String> {
         let text = self.text(path)?;
-        text.parse()
-            .map_err(|_| format!("start fact {path} that can be read, not {text:?}"))
+        text.parse().map_err(|_| format!("start fact {path} that can be read, not {text:?}"))
     }
 
     fn number(&self, path: &str) -> Result<f64, String> {
         let number: f64 = self.value(path)?;
         let sound = number.is_finite() && number >= 0.0;
-        sound
-            .then_some(number)
-            .ok_or_else(|| format!("start fact {path} of 0 or more, not {number}"))
+        sound.then_some(number).ok_or_else(|| format!("start fact {path} of 0 or more, not {number}"))
     }
 
     fn span(&self, path: &str) -> Result<Span, String> {
@@ -35,11 +29,7 @@
     }
 
     fn length(&self, path: &str) -> Result<usize, String> {
-        if self.0.contains_key(path) {
-            self.value(path)
-        } else {
-            Ok(0)
-        }
+        if self.0.contains_key(path) { self.value(path) } else { Ok(0) }
     }
 
     fn category(&self, place: usize) -> Result<Category, String> {
@@ -62,11 +52,7 @@
         Ok(Category {
             benefit: self.number(&of("benefit"))?,
             target_latency: self.span(&of("target_latency"))?,
-            target_stretch: if self.0.contains_key(stretch.as_str()) {
-                self.number(&stretch)?
-            } else {
-                0.0
-            },
+            target_stretch: if self.0.contains_key(stretch.as_str()) { self.number(&stretch)? } else { 0.0 },
             ttl: self.span(&of("ttl"))?,
             repeats,
         })
@@ -77,9 +63,7 @@
     let text = std::str::from_utf8(bytes).map_err(|_| "start facts in UTF-8".to_string())?;
     let mut facts = Facts(BTreeMap::new());
     for line in text.lines().filter(|line| !line.is_empty()) {
-        let (path, value) = line
-            .split_once('=')
-            .ok_or_else(|| format!("path=value, not {line:?}"))?;
+        let (path, value) = line.split_once('=').ok_or_else(|| format!("path=value, not {line:?}"))?;
         facts.0.insert(path, value);
     }
     let categories = facts.value("categories.count")?;
@@ -90,18 +74,12 @@
         other => return Err(format!("a known discovery, not {other:?}")),
     };
     Ok(StartTerms {
-        categories: (0..categories)
-            .map(|place| facts.category(place))
-            .collect::<Result<_, _>>()?,
+        categories: (0..categories).map(|place| facts.category(place)).collect::<Result<_, _>>()?,
         tenant_shares: (0..tenants)
             .map(|place| facts.number(&format!("projects.{place}.quota_per_s")))
             .collect::<Result<_, _>>()?,
         balancers: facts.value("n_instances")?,
-        overage_benefit: if tenants > 0 {
-            facts.number("overage_benefit")?
-        } else {
-            1.0
-        },
+        overage_benefit: if tenants > 0 { facts.number("overage_benefit")? } else { 1.0 },
         max_pushes: facts.value("limits.max_pushes")?,
         second_copies: facts.value("limits.second_copies")?,
         cancelling: facts.value("limits.cancelling")?,
--- a/crates/drill/src/session.rs
+++ b/crates/drill/src/session.rs
@@ -38,14 +38,7 @@
 impl Host for WireHost {
     fn push(&mut self, op: OpId, upstream: UpstreamId, try_for: Option<Span>) {
         let try_for = try_for.map_or(0.0, Span::secs);
-        self.record(
-            16,
-            &[
-                &op.0.to_be_bytes(),
-                &upstream.0.to_be_bytes(),
-                &try_for.to_be_bytes(),
-            ],
-        );
+        self.record(16, &[&op.0.to_be_bytes(), &upstream.0.to_be_bytes(), &try_for.to_be_bytes()]);
     }
 
     fn nack(&mut self, op: OpId, stay_away: Option<Span>) {
@@ -83,11 +76,8 @@
 /// Serves batches until the end of input.
 pub fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), Fault> {
     let reply = Rc::new(RefCell::new(Reply::new()));
-    let mut session = Session {
-        balancers: BTreeMap::new(),
-        rosters: Default::default(),
-        reply: reply.clone(),
-    };
+    let mut session =
+        Session { balancers: BTreeMap::new(), rosters: Default::default(), reply: reply.clone() };
     let mut frame = Vec::new();
     while read_frame(input, &mut frame)? {
         let batch = session.batch(&frame)?;
@@ -120,10 +110,7 @@
     // Read by what comes, not by what the length claims: a garbled one must not reserve gigabytes.
     input.take(rest as u64).read_to_end(frame).map_err(failed)?;
     if frame.len() < length {
-        return Err(format!(
-            "batch {batch}, byte {}: expected a frame of {length} bytes",
-            frame.len()
-        ));
+        return Err(format!("batch {batch}, byte {}: expected a frame of {length} bytes", frame.len()));
     }
     Ok(true)
 }
@@ -161,9 +148,7 @@
             return self.boot(reader, instance);
         }
         let Some(balancer) = self.balancers.get_mut(&instance) else {
-            return Err(reader.fault(&format!(
-                "an instance that has started before here, not {instance}"
-            )));
+            return Err(reader.fault(&format!("an instance that has started before here, not {instance}")));
         };
         let reply = &self.reply;
         match code {
@@ -235,10 +220,7 @@
         let length = reader.u32("the length of the start facts")?;
         let facts = reader.take(length as usize, "start facts")?;
         let terms = facts::decode(facts).map_err(|expected| reader.fault(&expected))?;
-        let host = WireHost {
-            instance,
-            reply: self.reply.clone(),
-        };
+        let host = WireHost { instance, reply: self.reply.clone() };
         self.balancers.remove(&instance);
         let balancers = &mut self.balancers;
         guarded(&self.reply, instance, || {
@@ -250,22 +232,15 @@
     fn roster(&mut self, reader: &mut Reader) -> Result<(), Fault> {
         let number = reader.u32("the number of a list")?;
         if number >= ROSTERS {
-            return Err(reader.fault(&format!(
-                "a list number under {ROSTERS} before here, not {number}"
-            )));
+            return Err(reader.fault(&format!("a list number under {ROSTERS} before here, not {number}")));
         }
         let count = reader.u32("the length of a list")? as usize;
-        let bytes = count
-            .checked_mul(LIST_ENTRY)
-            .ok_or_else(|| reader.fault("a length that fits"))?;
+        let bytes = count.checked_mul(LIST_ENTRY).ok_or_else(|| reader.fault("a length that fits"))?;
         let start = reader.fault("");
         let rows = reader.take(bytes, "list entries")?;
-        let rows = rows
-            .chunks_exact(LIST_ENTRY)
-            .map(|row| listing(&mut Reader::new(row, 0, 0)));
-        let rows = rows
-            .collect::<Result<_, _>>()
-            .map_err(|fault| format!("{start} (in an entry: {fault})"))?;
+        let rows = rows.chunks_exact(LIST_ENTRY).map(|row| listing(&mut Reader::new(row, 0, 0)));
+        let rows =
+            rows.collect::<Result<_, _>>().map_err(|fault| format!("{start} (in an entry: {fault})"))?;
         self.rosters[number as usize] = Some(rows);
         Ok(())
     }
@@ -276,9 +251,7 @@
     let mark = reply.borrow().mark();
     if let Err(panic) = catch_unwind(AssertUnwindSafe(call)) {
         let text = panic.downcast_ref::<String>().map(String::as_str);
-        let text = text
-            .or(panic.downcast_ref::<&str>().copied())
-            .unwrap_or("panic without a text");
+        let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic without a text");
         let mut reply = reply.borrow_mut();
         reply.cut_back(mark);
         reply.record(25, instance).text(text);
@@ -311,14 +284,7 @@
     let took = Span::from_secs(reader.f64("duration")?);
     let upstream = UpstreamId(reader.u32("an upstream")?);
     load_report(reader)?;
-    Ok(PushEnd {
-        op,
-        push,
-        upstream,
-        concluded,
-        ending,
-        took,
-    })
+    Ok(PushEnd { op, push, upstream, concluded, ending, took })
 }
 
 fn ending(reader: &mut Reader) -> Result<Ending, Fault> {
@@ -354,13 +320,5 @@
     let up_since = reader.f64("start time")?;
     let cell = CellId(reader.u16("a cell")?);
     let up_since = (up_since != 0.0).then(|| at(up_since));
-    Ok(Listing {
-        upstream,
-        kind,
-        zone,
-        cell,
-        size,
-        condition,
-        up_since,
-    })
+    Ok(Listing { upstream, kind, zone, cell, size, condition, up_since })
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -55,20 +55,12 @@
 
     pub fn f32(&mut self, what: &str) -> Result<f32, Fault> {
         let value = f32::from_be_bytes(self.array(what)?);
-        if value.is_finite() {
-            Ok(value)
-        } else {
-            Err(self.fault(&format!("a finite {what}")))
-        }
+        if value.is_finite() { Ok(value) } else { Err(self.fault(&format!("a finite {what}"))) }
     }
 
     pub fn f64(&mut self, what: &str) -> Result<f64, Fault> {
         let value = f64::from_be_bytes(self.array(what)?);
-        if value.is_finite() {
-            Ok(value)
-        } else {
-            Err(self.fault(&format!("a finite {what}")))
-        }
+        if value.is_finite() { Ok(value) } else { Err(self.fault(&format!("a finite {what}"))) }
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,8 @@
 const MOST_PUSHES: usize = 3;
 /// Enough samples for a tenth to be told from a median, few enough to forget a trouble within seconds.
 const FLEET_SAMPLES: usize = 128;
-/// A server's own: a handful decides whether it is ill before it has cost many ops.
-const SERVER_SAMPLES: usize = 8;
+/// So many good answers in a row and earlier failures are forgotten: fewer would forget a server that flaps.
+const FORGETS_AFTER: u32 = 8;
 /// Paces of past rounds of fleet samples: long enough that a jam of half a minute does not pass for usual.
 const FLOORS: usize = 32;
 /// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
@@ -26,11 +26,12 @@
 const ILL_MULTIPLE: f64 = 3.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
-/// The part of the target latency that an op may spend waiting at a server before the server counts as too full.
+/// The part of the least target latency that may be spent waiting at a server before it counts as too full.
 const LATE_WAIT: f64 = 0.25;
-/// Where a server's limits start, for all balancers together: enough for a few cores, and it grows on good answers.
+/// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 16.0;
-/// The part of a cold server's lawful work that is used: hints are rough and kept keys make servers look larger.
+/// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
+/// that it is judged by look several times larger than it may be.
 const COLD_MARGIN: f64 = 0.2;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
@@ -57,7 +58,7 @@
     in_flight: u32,
     limit: f64,
     cut_at: At,
-    samples: Ring<Sample, SERVER_SAMPLES>,
+    good_in_a_row: u32,
     /// Since when it owes an answer and has given none, and the largest work it got in that time.
     owes_since: Option<At>,
     owed_work: f64,
@@ -93,8 +94,8 @@
     due: At,
 }
 
-/// The one shared table: the largest kind is default, the next tip, and each range owns the slots of the hashed
-/// key space from the end before it up to its own, inclusive; what lies above the last end is default's.
+/// The one shared table: the largest kind is default, the next tip, and each range owns the slots of the
+/// hashed key space from the end before it up to its own, inclusive; what lies above the last is default's.
 struct Table {
     default: KindId,
     tip: Option<KindId>,
@@ -147,13 +148,7 @@
     }
     let size = |kind: KindId| kinds[&kind].1;
     let mut order: Vec<KindId> = kinds.keys().copied().collect();
-    order.sort_by(|a, b| {
-        kinds[b]
-            .0
-            .cmp(&kinds[a].0)
-            .then(size(*b).total_cmp(&size(*a)))
-            .then(a.cmp(b))
-    });
+    order.sort_by(|a, b| kinds[b].0.cmp(&kinds[a].0).then(size(*b).total_cmp(&size(*a))).then(a.cmp(b)));
     let default = *order.first()?;
     let tip = order.get(1).copied();
     let mut ranged: Vec<KindId> = order.into_iter().skip(2).collect();
@@ -166,12 +161,7 @@
     };
     let ranges = ranged.into_iter().map(end_of).collect();
     let tip_share = tip.map_or(0.0, |tip| size(tip) / (size(tip) + keyed));
-    Some(Table {
-        default,
-        tip,
-        tip_share,
-        ranges,
-    })
+    Some(Table { default, tip, tip_share, ranges })
 }
 
 impl<H: Host> Balancer<H> {
@@ -248,7 +238,7 @@
                 in_flight: 0,
                 limit: if started.is_some() { 1.0 } else { first_limit },
                 cut_at: now,
-                samples: Ring::new(),
+                good_in_a_row: 0,
                 owes_since: None,
                 owed_work: 0.0,
                 to_prove: 0,
@@ -268,7 +258,6 @@
             server.up_since = row.up_since;
             server.cold_from = started.max(server.cold_from);
             server.limit = if started.is_some() { 1.0 } else { server.limit };
-            server.samples = Ring::new();
         }
     }
 
@@ -285,10 +274,7 @@
 
     pub fn op_arrived(&mut self, now: At, arrival: OpArrival) {
         let category = &self.terms.categories[usize::from(arrival.category.0)];
-        let work = arrival
-            .hint
-            .or_else(|| self.hints.quantile(0.5, |&hint| Some(hint)))
-            .unwrap_or(1.0);
+        let work = arrival.hint.or_else(|| self.hints.quantile(0.5, |&hint| Some(hint))).unwrap_or(1.0);
         let target = category.target_latency + Span::from_secs(work * category.target_stretch);
         let mut benefit = category.benefit;
         if !self.is_in_share(now, arrival.tenant) {
@@ -301,25 +287,13 @@
         let ends = now + arrival.time_left;
         let target = (now + target).min(ends);
         let pushes = Vec::with_capacity(1);
-        let op_state = Op {
-            arrival,
-            work,
-            target,
-            ends,
-            benefit,
-            pushes,
-            queued: false,
-            streaming: false,
-            due: now,
-        };
+        let op_state =
+            Op { arrival, work, target, ends, benefit, pushes, queued: false, streaming: false, due: now };
         self.ops.insert(op, op_state);
         if ends <= now {
             return self.give_up(now, op);
         }
-        let outdone = self
-            .queue
-            .first()
-            .is_some_and(|first| self.ops[first].benefit >= benefit);
+        let outdone = self.queue.first().is_some_and(|first| self.ops[first].benefit >= benefit);
         if outdone || !self.place(now, op) {
             self.enqueue(now, op);
         }
@@ -342,24 +316,26 @@
         within
     }
 
-    /// The bound below which an op counts as small: small ops bring as much work as the tip group's share of size.
+    /// The bound up to which an op is small: small ops bring as much work as the tip group's share of size.
     fn note_hint(&mut self, hint: f64) {
         self.hints.put(hint);
         self.hints_seen += 1;
         let Some(table) = &self.table else { return };
-        if self.hints_seen % HINTS_BETWEEN_BOUNDS != 0 {
+        if !self.hints_seen.is_multiple_of(HINTS_BETWEEN_BOUNDS) {
             return;
         }
         let mut hints: Vec<f64> = self.hints.iter().copied().collect();
         hints.sort_unstable_by(f64::total_cmp);
         let mut left = hints.iter().sum::<f64>() * table.tip_share;
         self.tip_bound = 0.0;
-        for hint in hints {
-            left -= hint;
-            if left < 0.0 {
+        // By whole runs of equal hints, each on its nearer side: a category may give one hint to all its ops.
+        for equal in hints.chunk_by(|a, b| a == b) {
+            let work: f64 = equal.iter().sum();
+            if left < work / 2.0 {
                 break;
             }
-            self.tip_bound = hint;
+            left -= work;
+            self.tip_bound = equal[0];
         }
     }
 
@@ -388,43 +364,28 @@
             return table.default;
         };
         let slot = mix(key.0);
-        table
-            .ranges
-            .iter()
-            .find(|(_, end)| slot <= *end)
-            .map_or(table.default, |(kind, _)| *kind)
+        table.ranges.iter().find(|(_, end)| slot <= *end).map_or(table.default, |(kind, _)| *kind)
     }
 
-    /// Guards against heavy ops that are lost by the table alone: one that cannot make its target in its own
-    /// group, by that group's unhindered pace, goes to the group with the quickest pace if it can make it there.
+    /// Guards against heavy ops lost by the table alone: one that cannot make its target in its own group, by
+    /// that group's unhindered pace, goes to the group with the quickest pace if it can make it there.
     fn fitting(&self, now: At, table: &Table, op: &Op, home: KindId) -> KindId {
         let left = (op.target - now).secs();
         let needs = |kind: KindId| self.unhindered_pace(kind).map(|pace| pace * op.work);
         if needs(home).is_none_or(|needed| needed <= left) {
             return home;
         }
-        let groups = table
-            .ranges
-            .iter()
-            .map(|(kind, _)| *kind)
-            .chain([table.default])
-            .chain(table.tip);
+        let groups = table.ranges.iter().map(|(kind, _)| *kind).chain([table.default]).chain(table.tip);
         let timed = groups.filter_map(|kind| Some((kind, needs(kind)?)));
         let quickest = timed.min_by(|(_, a), (_, b)| a.total_cmp(b));
-        quickest
-            .filter(|(_, needed)| *needed <= left)
-            .map_or(home, |(kind, _)| kind)
+        quickest.filter(|(_, needed)| *needed <= left).map_or(home, |(kind, _)| kind)
     }
 
     fn choose(&mut self, now: At, op: OpId) -> Option<usize> {
         let op = &self.ops[&op];
         let table = self.table.as_ref()?;
         let home = self.fitting(now, table, op, self.home(table, op));
-        let groups = [
-            Some(home),
-            Some(table.default).filter(|&default| default != home),
-            None,
-        ];
+        let groups = [Some(home), Some(table.default).filter(|&default| default != home), None];
         let salt = u64::from(self.rng.draw());
         for (place, group) in groups.iter().enumerate() {
             if place > 0 && *group == groups[place - 1] {
@@ -437,10 +398,7 @@
             }
         }
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing.
-        let trusted = self
-            .servers
-            .iter()
-            .any(|server| server.ready && server.to_prove == 0);
+        let trusted = self.servers.iter().any(|server| server.ready && server.to_prove == 0);
         if trusted {
             return None;
         }
@@ -461,8 +419,8 @@
         if listed { kind } else { table.default }
     }
 
-    /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so that
-    /// it meets servers that know it; chance draws for an op without a key.
+    /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so
+    /// that it meets servers that know it; chance draws for an op without a key.
     fn draw(&self, now: At, op: &Op, salt: u64, is_member: impl Fn(&Server) -> bool) -> Option<usize> {
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let basis = op.arrival.key.map_or(salt, |key| key.0);
@@ -484,13 +442,7 @@
         let Some((_, second)) = best[1] else {
             return Some(first);
         };
-        Some(
-            if self.servers[second].in_flight < self.servers[first].in_flight {
-                second
-            } else {
-                first
-            },
-        )
+        Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
     }
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
@@ -516,58 +468,44 @@
         self.terms.categories.iter().all(|category| own <= risk(category))
     }
 
-    /// Guards against doing an effect twice: what may have run is repeated only where and while repeats are dropped.
+    /// Guards against doing an effect twice: what may have run is repeated only where repeats are dropped,
+    /// and only as long.
     fn may_repeat_on(&self, now: At, op: &Op, server: &Server) -> bool {
         let repeats = self.terms.categories[usize::from(op.arrival.category.0)].repeats;
-        op.pushes
-            .iter()
-            .filter(|push| push.out || push.may_have_run)
-            .all(|push| match repeats {
-                Repeats::Redeliverable => true,
-                Repeats::AtMostOnce => false,
-                Repeats::Deduplicated { group, window } => {
-                    let earlier = &self.servers[push.server];
-                    let shares_group = match group {
-                        DedupGroup::All => true,
-                        DedupGroup::Zone => earlier.zone == server.zone,
-                        DedupGroup::Cell => earlier.cell == server.cell,
-                    };
-                    shares_group && now - push.at < window
-                }
-            })
+        op.pushes.iter().filter(|push| push.out || push.may_have_run).all(|push| match repeats {
+            Repeats::Redeliverable => true,
+            Repeats::AtMostOnce => false,
+            Repeats::Deduplicated { group, window } => {
+                let earlier = &self.servers[push.server];
+                let shares_group = match group {
+                    DedupGroup::All => true,
+                    DedupGroup::Zone => earlier.zone == server.zone,
+                    DedupGroup::Cell => earlier.cell == server.cell,
+                };
+                shares_group && now - push.at < window
+            }
+        })
     }
 
     // Health.
 
     fn pace(&self, kind: KindId, part: f64) -> Option<f64> {
-        self.fleet
-            .quantile(part, |sample| (sample.kind == kind).then_some(sample.pace))
+        self.fleet.quantile(part, |sample| (sample.kind == kind).then_some(sample.pace))
     }
 
     fn took(&self, part: f64) -> Option<Span> {
-        self.fleet
-            .quantile(part, |sample| Some(sample.took.secs()))
-            .map(Span::from_secs)
+        self.fleet.quantile(part, |sample| Some(sample.took.secs())).map(Span::from_secs)
     }
 
     /// A server does not know whose ops wait: the category with the least time to lose sets the bound.
     fn least_target(&self) -> Span {
-        self.terms
-            .categories
-            .iter()
-            .map(|category| category.target_latency)
-            .min()
-            .unwrap_or(Span::ZERO)
+        self.terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(Span::ZERO)
     }
 
     /// The pace of a kind when nothing holds it up. In a jam the latest samples all tell of waiting, so that
     /// the waiting would pass for the servers' own slowness.
     fn unhindered_pace(&self, kind: KindId) -> Option<f64> {
-        let floors = self
-            .floors
-            .iter()
-            .filter(|(of, _)| *of == kind)
-            .map(|(_, pace)| *pace);
+        let floors = self.floors.iter().filter(|(of, _)| *of == kind).map(|(_, pace)| *pace);
         floors.min_by(f64::total_cmp).or_else(|| self.pace(kind, 0.25))
     }
 
@@ -585,9 +523,7 @@
     /// How long an op of this work may stay unanswered on a server of this kind before that means something.
     fn patience(&self, kind: KindId, work: f64) -> Option<Span> {
         let usual = self.took(0.9)?;
-        let own = self
-            .pace(kind, 0.5)
-            .map_or(usual, |pace| Span::from_secs(ILL_MULTIPLE * pace * work));
+        let own = self.pace(kind, 0.5).map_or(usual, |pace| Span::from_secs(ILL_MULTIPLE * pace * work));
         Some(usual.max(own))
     }
 
@@ -599,8 +535,7 @@
         if self.answered_at.is_none_or(|at| at <= since) {
             return false;
         }
-        self.patience(server.kind, server.owed_work)
-            .is_some_and(|patience| now - since > patience)
+        self.patience(server.kind, server.owed_work).is_some_and(|patience| now - since > patience)
     }
 
     fn set_aside(&mut self, now: At, place: usize, why: &str) {
@@ -614,7 +549,7 @@
         server.relapses += 1;
         server.to_prove = 1 + server.relapses.min(4);
         server.trial_from = now + wait;
-        server.samples = Ring::new();
+        server.good_in_a_row = 0;
         let line = format!("upstream {} set aside for {} ms: {why}", server.id.0, wait.0 / 10);
         self.host.log(&line);
     }
@@ -650,23 +585,18 @@
         // and as every balancer keeps to that on its own pushes, all of them together do.
         let window = self.terms.cold.fall_window;
         let sent = server.sent.within(now, window);
-        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of the
-        // weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
+        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that
+        // of the weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
         let warm = |other: &&Server| {
             let is_known = other.ready && other.kind == server.kind && other.to_prove == 0;
             is_known && self.cold_share(now, other) >= 1.0
         };
         let warm = self.servers.iter().filter(warm);
-        let mut borne: Vec<f64> = warm
-            .map(|other| other.answered.within(now, window) / other.size)
-            .collect();
+        let mut borne: Vec<f64> = warm.map(|other| other.answered.within(now, window) / other.size).collect();
         if borne.is_empty() {
             // Nobody to go by: one op at a time, which a server can only finish as fast as it is able to.
             return in_flight == 0.0
-                && self
-                    .hints
-                    .quantile(0.5, |&hint| Some(hint))
-                    .is_none_or(|usual| work <= usual);
+                && self.hints.quantile(0.5, |&hint| Some(hint)).is_none_or(|usual| work <= usual);
         }
         let weak = borne.len() / 4;
         let weak = *borne.select_nth_unstable_by(weak, f64::total_cmp).1;
@@ -683,12 +613,7 @@
         let patience = self.patience(self.servers[place].kind, self.ops[&op].work);
         let state = self.ops.get_mut(&op).expect("an op that is placed is held");
         state.queued = false;
-        state.pushes.push(Push {
-            server: place,
-            at: now,
-            out: true,
-            may_have_run: false,
-        });
+        state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
         let server = &mut self.servers[place];
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
@@ -744,10 +669,7 @@
         self.note_ending(now, place, &end);
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
-        let answered = !matches!(
-            end.ending,
-            Ending::Cancelled | Ending::TimedOut | Ending::NeverSent
-        );
+        let answered = !matches!(end.ending, Ending::Cancelled | Ending::TimedOut | Ending::NeverSent);
         if answered {
             server.owes_since = None;
             self.answered_at = Some(now);
@@ -810,20 +732,16 @@
         // Time beyond what the op's own work explains was spent waiting at the server.
         let waited = end.took.secs() - work * self.unhindered_pace(kind).unwrap_or(pace);
         let waited = waited / self.least_target().secs().max(1e-4);
-        let sample = Sample {
-            kind,
-            took: end.took,
-            pace,
-        };
+        let sample = Sample { kind, took: end.took, pace };
         self.fleet.put(sample);
         self.answers += 1;
         if self.answers.is_multiple_of(FLEET_SAMPLES / 2) {
             self.note_floors();
         }
         let server = &mut self.servers[place];
-        server.samples.put(sample);
+        server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.fall_window, work);
-        if server.samples.len() == SERVER_SAMPLES {
+        if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
         server.to_prove = server.to_prove.saturating_sub(1);
@@ -862,15 +780,9 @@
 
     fn enqueue(&mut self, now: At, op: OpId) {
         self.crowded_at = Some(now);
-        let pace = self
-            .fleet
-            .quantile(0.5, |sample| Some(sample.pace))
-            .unwrap_or(0.0);
+        let pace = self.fleet.quantile(0.5, |sample| Some(sample.pace)).unwrap_or(0.0);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
-        state.due = At(state
-            .target
-            .0
-            .saturating_sub(Span::from_secs(pace * state.work).0));
+        state.due = At(state.target.0.saturating_sub(Span::from_secs(pace * state.work).0));
         // Nothing out means that no room will come free: a quick nack beats a wait for one.
         if state.due <= now || self.out == 0 {
             return self.give_up(now, op);
@@ -880,12 +792,7 @@
         let (benefit, target) = (state.benefit, state.target);
         let ahead = |other: &OpId| {
             let other = &self.ops[other];
-            other
-                .benefit
-                .total_cmp(&benefit)
-                .reverse()
-                .then(other.target.cmp(&target))
-                .is_le()
+            other.benefit.total_cmp(&benefit).reverse().then(other.target.cmp(&target)).is_le()
         };
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
@@ -911,11 +818,7 @@
         let state = &self.ops[&op];
         let may_have_run = state.pushes.iter().any(|push| push.out || push.may_have_run);
         let harmless = match self.terms.categories[usize::from(state.arrival.category.0)].repeats {
-            Repeats::Redeliverable
-            | Repeats::Deduplicated {
-                group: DedupGroup::All,
-                ..
-            } => true,
+            Repeats::Redeliverable | Repeats::Deduplicated { group: DedupGroup::All, .. } => true,
             Repeats::Deduplicated { .. } | Repeats::AtMostOnce => !may_have_run,
         };
         if !harmless {
@@ -923,8 +826,7 @@
         } else if self.is_crowded(now) {
             let usual = self.took(0.9).unwrap_or(Span::from_secs(1.0));
             let wait = usual.times(0.5 + self.rng.unit());
-            self.host
-                .nack(op, self.terms.longest_stay_away.map(|most| wait.min(most)));
+            self.host.nack(op, self.terms.longest_stay_away.map(|most| wait.min(most)));
         } else {
             self.host.nack(op, None);
         }
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -63,10 +63,6 @@
     }
 
     pub fn within(&self, now: At, window: Span) -> f64 {
-        self.0
-            .iter()
-            .filter(|(at, _)| now - *at < window)
-            .map(|(_, work)| work)
-            .sum()
+        self.0.iter().filter(|(at, _)| now - *at < window).map(|(_, work)| work).sum()
     }
 }
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,396 @@
+//! Traces of decisions, to be read by people: what happens stands at the margin, what the balancer does is indented.
+
+mod common;
+
+use common::{ORDER, READ, TOP_UP, World, server, terms};
+use doorproxy::host::{Condition, Ending, Listing};
+use doorproxy::ids::{AlarmId, At, Key, OpId, Span};
+use expect_test::{Expect, expect};
+
+fn check(world: &World, kept: Expect) {
+    kept.assert_eq(&world.trace());
+}
+
+/// Kind 0 has four servers (default), kind 1 three (tip), kinds 2 and 3 one each (ranges).
+fn four_kinds() -> Vec<Listing> {
+    let kinds = [(10, 0), (11, 0), (12, 0), (13, 0), (20, 1), (21, 1), (22, 1), (30, 2), (40, 3)];
+    kinds.iter().map(|&(upstream, kind)| server(upstream, kind)).collect()
+}
+
+fn one_kind(upstreams: &[u32]) -> Vec<Listing> {
+    upstreams.iter().map(|&upstream| server(upstream, 0)).collect()
+}
+
+fn with(condition: Condition, row: Listing) -> Listing {
+    Listing { condition, ..row }
+}
+
+#[test]
+fn the_table_routes_by_hint_and_slot_and_spills_to_default() {
+    let mut world = World::new(terms(), &four_kinds());
+    for op in 0..64 {
+        let hint = if op % 2 == 0 { 0.02 } else { 0.2 };
+        world.op(op, READ, 5, hint);
+        let upstream = world.last_pushed();
+        world.after_ms(100).end(op, 0, upstream, Ending::Acked);
+    }
+    world.note("-- small: tip; then by slot; keyless: default");
+    world.op(100, READ, 1, 0.02).op(101, READ, 1, 0.2).op(102, READ, 2, 0.2).op(103, READ, 3, 0.2);
+    world.op(104, READ, 4, 0.2).arrive(105, READ, None, Some(0.2), 1.5);
+    world.note("-- the tip group is gone, then default too");
+    for upstream in [20, 21, 22] {
+        let row = with(Condition::Gone, server(upstream, 1));
+        world.balancer.list_changed(world.now, &[row]);
+    }
+    world.op(106, READ, 1, 0.02);
+    for upstream in 10..14 {
+        let row = with(Condition::Draining, server(upstream, 0));
+        world.balancer.list_changed(world.now, &[row]);
+    }
+    world.op(107, READ, 1, 0.02);
+    let trace = world.trace();
+    let shown = trace.split_once("-- small").expect("the note").1;
+    expect![[r#"
+        : tip; then by slot; keyless: default
+        op 100 of category 0 comes
+          push op 100 to 21
+        op 101 of category 0 comes
+          push op 101 to 11
+        op 102 of category 0 comes
+          push op 102 to 12
+        op 103 of category 0 comes
+          push op 103 to 30
+        op 104 of category 0 comes
+          push op 104 to 13
+        op 105 of category 0 comes
+          push op 105 to 11
+        -- the tip group is gone, then default too
+        op 106 of category 0 comes
+          push op 106 to 13
+        op 107 of category 0 comes
+          push op 107 to 40
+    "#]]
+    .assert_eq(shown);
+}
+
+#[test]
+fn at_most_once_is_never_pushed_again_after_a_reset_but_is_after_a_refused_connection() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2, 3]));
+    world.warm_up(20).op(1, ORDER, 1, 0.1);
+    let first = world.last_pushed();
+    world.after_ms(1).end(1, 0, first, Ending::Reset);
+    world.op(2, ORDER, 1, 0.1);
+    let first = world.last_pushed();
+    world.after_ms(1).end(2, 0, first, Ending::ConnectFailed);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 2 comes
+          push op 1 to 2
+        push 0 of op 1 ends at 2: Reset
+          log: upstream 2 set aside for 162 ms: its connection failed
+          dead-letter op 1
+        op 2 of category 2 comes
+          push op 2 to 3
+        push 0 of op 2 ends at 3: ConnectFailed
+          log: upstream 3 set aside for 152 ms: its connection failed
+          push op 2 to 1
+    "#]],
+    );
+}
+
+#[test]
+fn deduplicated_is_repeated_in_its_zone_and_window_only() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2, 3, 4, 5]));
+    world.warm_up(20).op(1, TOP_UP, 1, 0.1);
+    let first = world.last_pushed();
+    world.after_ms(50).end(1, 0, first, Ending::Error);
+    let second = world.last_pushed();
+    world.note("-- later than the window the next error ends it");
+    world.after_ms(1100).end(1, 1, second, Ending::Error);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 1 comes
+          push op 1 to 2
+        push 0 of op 1 ends at 2: Error
+          log: upstream 2 set aside for 162 ms: an error
+          push op 1 to 4
+        -- later than the window the next error ends it
+        push 1 of op 1 ends at 4: Error
+          log: upstream 4 set aside for 225 ms: an error
+          dead-letter op 1
+    "#]],
+    );
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_server_or_one_left_out_of_the_list() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.balancer.list_changed(world.now, &[with(Condition::Draining, server(1, 0))]);
+    world.op(1, READ, 1, 0.1).op(2, READ, 2, 0.1);
+    world.note("-- a whole list names only server 1");
+    world.balancer.list_given(world.now, &one_kind(&[1]));
+    world.op(3, READ, 1, 0.1).op(4, READ, 2, 0.1);
+    world.note("-- no server at all");
+    world.balancer.list_given(world.now, &[]);
+    world.op(5, ORDER, 1, 0.1);
+    world.end(5, 0, 1, Ending::NeverSent).end(99, 0, 77, Ending::Acked);
+    check(
+        &world,
+        expect![[r#"
+          watch the list
+        op 1 of category 0 comes
+          push op 1 to 2
+        op 2 of category 0 comes
+          push op 2 to 2
+        -- a whole list names only server 1
+        op 3 of category 0 comes
+          push op 3 to 1
+        op 4 of category 0 comes
+          push op 4 to 1
+        -- no server at all
+        op 5 of category 2 comes
+        push 0 of op 5 ends at 1: NeverSent
+          nack op 5, say when to come back
+        push 0 of op 99 ends at 77: Acked
+    "#]],
+    );
+}
+
+#[test]
+fn a_burst_at_a_cold_server_stays_within_its_budget() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(30);
+    let started = Listing { up_since: Some(world.now), ..server(2, 0) };
+    world.balancer.list_changed(world.now, &[started]);
+    for op in 0..8 {
+        world.op(op, READ, u64::from(op) + 1, 0.05);
+    }
+    check(
+        &world,
+        expect![[r#"
+        op 0 of category 0 comes
+          push op 0 to 1
+        op 1 of category 0 comes
+          push op 1 to 1
+        op 2 of category 0 comes
+          push op 2 to 1
+        op 3 of category 0 comes
+          push op 3 to 1
+        op 4 of category 0 comes
+          push op 4 to 1
+        op 5 of category 0 comes
+          push op 5 to 1
+        op 6 of category 0 comes
+          push op 6 to 1
+        op 7 of category 0 comes
+          push op 7 to 1
+    "#]],
+    );
+}
+
+#[test]
+fn an_op_that_expires_is_forgotten_and_late_news_of_it_are_ignored() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20).op(1, READ, 1, 0.1);
+    let first = world.last_pushed();
+    world.balancer.op_expired(world.now, OpId(1));
+    world.end(1, 0, first, Ending::Cancelled).ring(1);
+    world.balancer.op_expired(world.now, OpId(1));
+    world.note("-- time already spent; a hint of absurd size; no hint");
+    world.arrive(2, ORDER, None, Some(0.1), 0.0).arrive(3, ORDER, None, Some(1e300), 1.5);
+    world.arrive(4, READ, Some(Key(1)), None, 1.5);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 0 comes
+          push op 1 to 2
+          cancel push 0 of op 1
+        push 0 of op 1 ends at 2: Cancelled
+        the alarm of op 1 rings
+        -- time already spent; a hint of absurd size; no hint
+        op 2 of category 2 comes
+          nack op 2
+        op 3 of category 2 comes
+          push op 3 to 1
+        op 4 of category 0 comes
+          push op 4 to 2
+    "#]],
+    );
+}
+
+#[test]
+fn the_list_is_asked_for_again_after_failures() {
+    let mut world = World::new(terms(), &one_kind(&[1]));
+    world.balancer.list_call_failed(world.now);
+    world.balancer.alarm_rang(At(1_100_000), AlarmId(1 << 32));
+    world.balancer.list_changed(world.now, &one_kind(&[1, 2]));
+    check(
+        &world,
+        expect![[r#"
+              watch the list
+              watch the list
+        "#]],
+    );
+}
+
+#[test]
+fn a_silent_server_gets_no_more_ops_and_its_redeliverable_ones_a_second_copy() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20).op(1, READ, 1, 0.1);
+    let silent = world.last_pushed();
+    let other = 3 - silent;
+    world.after_ms(50).op(2, READ, 2, 0.1).after_ms(100).end(2, 0, other, Ending::Acked);
+    world.after_ms(200).op(3, ORDER, 1, 0.1).ring(1);
+    world.after_ms(100).end(1, 1, other, Ending::Acked).end(1, 0, silent, Ending::Cancelled);
+    check(
+        &world,
+        expect![[r#"
+            op 1 of category 0 comes
+              push op 1 to 2
+            op 2 of category 0 comes
+              push op 2 to 1
+            push 0 of op 2 ends at 1: Acked
+            op 3 of category 2 comes
+              push op 3 to 1
+            the alarm of op 1 rings
+              push op 1 to 1
+            push 1 of op 1 ends at 1: Acked
+              cancel push 0 of op 1
+            push 0 of op 1 ends at 2: Cancelled
+              log: upstream 2 set aside for 152 ms: no answer
+        "#]],
+    );
+}
+
+#[test]
+fn a_server_that_fails_fast_must_prove_itself_with_redeliverable_ops() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20).op(1, READ, 1, 0.1);
+    let failing = world.last_pushed();
+    world.after_ms(1).end(1, 0, failing, Ending::Error);
+    let other = world.last_pushed();
+    world.after_ms(100).end(1, 1, other, Ending::Acked);
+    world.note("-- after its wait: not an at-most-once op first");
+    world.after_ms(5000).op(2, ORDER, 1, 0.1).op(3, READ, 1, 0.1).op(4, READ, 1, 0.1);
+    world.after_ms(100).end(3, 0, failing, Ending::Acked).op(5, READ, 1, 0.1);
+    world.after_ms(100).end(5, 0, failing, Ending::Acked).op(6, ORDER, 1, 0.1);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 0 comes
+          push op 1 to 2
+        push 0 of op 1 ends at 2: Error
+          log: upstream 2 set aside for 162 ms: an error
+          push op 1 to 1
+        push 1 of op 1 ends at 1: Acked
+        -- after its wait: not an at-most-once op first
+        op 2 of category 2 comes
+          push op 2 to 1
+        op 3 of category 0 comes
+          push op 3 to 2
+        op 4 of category 0 comes
+          push op 4 to 1
+        push 0 of op 3 ends at 2: Acked
+        op 5 of category 0 comes
+          push op 5 to 2
+        push 0 of op 5 ends at 2: Acked
+        op 6 of category 2 comes
+          push op 6 to 2
+    "#]],
+    );
+}
+
+#[test]
+fn a_full_server_rests_although_it_looks_idle() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20).op(1, ORDER, 1, 0.1);
+    let full = world.last_pushed();
+    world.after_ms(1).end(1, 0, full, Ending::Full).op(2, READ, 1, 0.1);
+    world.note("-- after its rest");
+    world.after_ms(150).op(3, READ, 1, 0.1);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 2 comes
+          push op 1 to 2
+        push 0 of op 1 ends at 2: Full
+          push op 1 to 1
+        op 2 of category 0 comes
+          push op 2 to 1
+        -- after its rest
+        op 3 of category 0 comes
+          push op 3 to 2
+    "#]],
+    );
+}
+
+#[test]
+fn a_jam_cuts_the_limit_and_the_least_benefit_is_nacked() {
+    let mut tight = terms();
+    tight.balancers = 16;
+    let mut world = World::new(tight, &one_kind(&[1]));
+    world.warm_up(20).op(1, READ, 1, 0.1).op(2, READ, 1, 0.1).op(3, READ, 1, 0.1).op(4, ORDER, 1, 0.1);
+    world.op(5, READ, 1, 0.1).op(6, READ, 1, 0.1).op(7, ORDER, 1, 0.1);
+    for op in 8..16 {
+        world.op(op, READ, 1, 0.1);
+    }
+    world.note("-- room goes to the best benefit first");
+    world.after_ms(100).end(1, 0, 1, Ending::Acked);
+    world.note("-- no further push while overload is seen");
+    world.after_ms(10).end(2, 0, 1, Ending::Reset);
+    check(
+        &world,
+        expect![[r#"
+            op 1 of category 0 comes
+              push op 1 to 1
+            op 2 of category 0 comes
+              push op 2 to 1
+            op 3 of category 0 comes
+              push op 3 to 1
+            op 4 of category 2 comes
+              push op 4 to 1
+            op 5 of category 0 comes
+              push op 5 to 1
+            op 6 of category 0 comes
+            op 7 of category 2 comes
+            op 8 of category 0 comes
+            op 9 of category 0 comes
+            op 10 of category 0 comes
+            op 11 of category 0 comes
+            op 12 of category 0 comes
+            op 13 of category 0 comes
+            op 14 of category 0 comes
+            op 15 of category 0 comes
+            -- room goes to the best benefit first
+            push 0 of op 1 ends at 1: Acked
+              push op 7 to 1
+            -- no further push while overload is seen
+            push 0 of op 2 ends at 1: Reset
+              log: upstream 1 set aside for 155 ms: its connection failed
+              nack op 2, say when to come back
+        "#]],
+    );
+}
+
+#[test]
+fn an_op_too_heavy_for_its_group_goes_to_the_quickest() {
+    let mut world = World::new(terms(), &four_kinds());
+    for op in 0..200 {
+        world.op(op, READ, u64::from(op), if op % 2 == 0 { 0.05 } else { 0.06 });
+        let upstream = world.last_pushed();
+        let ms = if (20..30).contains(&upstream) { 50 } else { 200 };
+        world.after_ms(ms).end_after(op, 0, upstream, Ending::Acked, ms);
+    }
+    world.note("-- by its own group's pace it would be late");
+    world.op(1000, ORDER, 1, 0.1).op(1001, ORDER, 1, 0.4);
+    expect![[r#"
+         its own group's pace it would be late
+        op 1000 of category 2 comes
+          push op 1000 to 11
+        op 1001 of category 2 comes
+          push op 1001 to 21
+    "#]]
+    .assert_eq(world.trace().split_once("-- by").expect("the note").1);
+}
