--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use common::{ORDER, READ, TOP_UP, World, server, terms};
 use doorproxy::host::{Condition, Ending, Listing};
-use doorproxy::ids::{AlarmId, At, Key, OpId, Span};
+use doorproxy::ids::{AlarmId, At, Key, OpId};
 use expect_test::{Expect, expect};
 
 fn check(world: &World, kept: Expect) {
