--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -223,6 +223,7 @@
 #[test]
 fn the_list_is_asked_for_again_after_failures() {
     let mut world = World::new(terms(), &one_kind(&[1]));
+    world.note("the call fails; then its alarm rings");
     world.balancer.list_call_failed(world.now);
     world.balancer.alarm_rang(At(1_100_000), AlarmId(1 << 32));
     world.balancer.list_changed(world.now, &one_kind(&[1, 2]));
@@ -230,6 +231,7 @@
         &world,
         expect![[r#"
               watch the list
+            the call fails; then its alarm rings
               watch the list
         "#]],
     );
