Cut the limit on a wait of three usual ops as well

Cause: servers that hold many ops do less work, long before a quarter of the target is spent waiting.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,8 @@
 const LIMIT_KEPT: f64 = 0.8;
 /// The part of the least target latency that may be spent waiting at a server before it counts as too full.
 const LATE_WAIT: f64 = 0.25;
+/// So many usual ops waited for ahead of one's own and a server is crowded: it may do less for holding more.
+const CROWD: f64 = 3.0;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
@@ -730,8 +732,10 @@
         let (kind, work) = (self.servers[place].kind, state.work);
         let pace = end.took.secs() / work;
         // Time beyond what the op's own work explains was spent waiting at the server.
-        let waited = end.took.secs() - work * self.unhindered_pace(kind).unwrap_or(pace);
-        let waited = waited / self.least_target().secs().max(1e-4);
+        let unhindered = self.unhindered_pace(kind).unwrap_or(pace);
+        let waited = end.took.secs() - work * unhindered;
+        let usual_work = self.hints.iter().sum::<f64>() / self.hints.len().max(1) as f64;
+        let bound = (LATE_WAIT * self.least_target().secs()).min(CROWD * usual_work.max(work) * unhindered);
         let sample = Sample { kind, took: end.took, pace };
         self.fleet.put(sample);
         self.answers += 1;
@@ -746,9 +750,9 @@
         }
         server.to_prove = server.to_prove.saturating_sub(1);
         server.fulls = 0;
-        if waited > LATE_WAIT {
+        if waited > bound {
             self.cut_limit(now, place, end.took);
-        } else if waited < LATE_WAIT / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
+        } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
             server.limit += 1.0 / server.limit;
         }
     }
