--- a/src/policy.rs
+++ b/src/policy.rs
@@ -677,6 +677,12 @@
             self.answered_at = Some(now);
         }
         if server.in_flight == 0 {
+            if server.limit < 1.0 {
+                // Guards against many balancers that jam a server between them with one push each: a limit
+                // under one is kept as a share of the time.
+                let rest = end.took.times(1.0 / server.limit - 1.0);
+                server.rests_until = server.rests_until.max(now + rest);
+            }
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
@@ -753,7 +759,7 @@
         if waited > bound {
             self.cut_limit(now, place, end.took);
         } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            server.limit += 1.0 / server.limit;
+            server.limit += 1.0 / server.limit.max(1.0);
         }
     }
 
@@ -762,8 +768,8 @@
         let server = &mut self.servers[place];
         if now - server.cut_at > took {
             server.cut_at = now;
-            let used = server.limit.min(f64::from(server.in_flight) + 1.0);
-            server.limit = (used * LIMIT_KEPT).max(1.0);
+            let used = server.limit.min(f64::from(server.in_flight.max(1)));
+            server.limit = (used * LIMIT_KEPT).max(1.0 / f64::from(self.terms.balancers.max(1)));
         }
     }
 
