--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,7 @@
     in_flight: u32,
     limit: f64,
     cut_at: At,
+    cut: bool,
     good_in_a_row: u32,
     /// Since when it owes an answer and has given none, and the largest work it got in that time.
     owes_since: Option<At>,
@@ -240,6 +241,7 @@
                 in_flight: 0,
                 limit: if started.is_some() { 1.0 } else { first_limit },
                 cut_at: now,
+                cut: false,
                 good_in_a_row: 0,
                 owes_since: None,
                 owed_work: 0.0,
@@ -260,6 +262,7 @@
             server.up_since = row.up_since;
             server.cold_from = started.max(server.cold_from);
             server.limit = if started.is_some() { 1.0 } else { server.limit };
+            server.cut = false;
         }
     }
 
@@ -677,12 +680,6 @@
             self.answered_at = Some(now);
         }
         if server.in_flight == 0 {
-            if server.limit < 1.0 {
-                // Guards against many balancers that jam a server between them with one push each: a limit
-                // under one is kept as a share of the time.
-                let rest = end.took.times(1.0 / server.limit - 1.0);
-                server.rests_until = server.rests_until.max(now + rest);
-            }
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
@@ -720,6 +717,7 @@
                 // It may be starting anew, which the list will tell only seconds later.
                 server.cold_from = Some(now);
                 server.limit = 1.0;
+                server.cut = false;
                 self.set_aside(now, place, "its connection failed");
             }
             Ending::TimedOut | Ending::Cancelled => {
@@ -759,7 +757,10 @@
         if waited > bound {
             self.cut_limit(now, place, end.took);
         } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            server.limit += 1.0 / server.limit.max(1.0);
+            // By one for all balancers together: each of ten growing by one would overshoot by ten. But at once
+            // by one each where nothing was cut yet, or a server that has warmed up would stay idle.
+            let step = if server.cut { 1.0 / f64::from(self.terms.balancers.max(1)) } else { 1.0 };
+            server.limit += step / server.limit;
         }
     }
 
@@ -769,7 +770,8 @@
         if now - server.cut_at > took {
             server.cut_at = now;
             let used = server.limit.min(f64::from(server.in_flight.max(1)));
-            server.limit = (used * LIMIT_KEPT).max(1.0 / f64::from(self.terms.balancers.max(1)));
+            server.limit = (used * LIMIT_KEPT).max(1.0);
+            server.cut = true;
         }
     }
 
