--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,8 @@
 const HINTS_BETWEEN_BOUNDS: usize = 32;
 /// How far beyond its fellows a server must be before it counts as ill rather than unlucky.
 const ILL_MULTIPLE: f64 = 3.0;
+/// What all balancers together may always have at a server: less would leave the cores of any server idle.
+const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
 /// The part of the least target latency that may be spent waiting at a server before it counts as too full.
@@ -680,6 +682,12 @@
             self.answered_at = Some(now);
         }
         if server.in_flight == 0 {
+            if server.limit < 1.0 {
+                // Guards against many balancers that jam a server between them with one push each: a limit
+                // under one is kept as a share of the time.
+                let rest = end.took.times(1.0 / server.limit - 1.0);
+                server.rests_until = server.rests_until.max(now + rest);
+            }
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
@@ -760,7 +768,7 @@
             // By one for all balancers together: each of ten growing by one would overshoot by ten. But at once
             // by one each where nothing was cut yet, or a server that has warmed up would stay idle.
             let step = if server.cut { 1.0 / f64::from(self.terms.balancers.max(1)) } else { 1.0 };
-            server.limit += step / server.limit;
+            server.limit += step / server.limit.max(1.0);
         }
     }
 
@@ -770,7 +778,8 @@
         if now - server.cut_at > took {
             server.cut_at = now;
             let used = server.limit.min(f64::from(server.in_flight.max(1)));
-            server.limit = (used * LIMIT_KEPT).max(1.0);
+            server.limit =
+                (used * LIMIT_KEPT).max((LEAST_LIMIT / f64::from(self.terms.balancers.max(1))).min(1.0));
             server.cut = true;
         }
     }
