--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,6 +22,8 @@
 const HINTS: usize = 256;
 /// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
 const HINTS_BETWEEN_BOUNDS: usize = 32;
+/// Figures are worked out anew after so many answers: every op asks for several, and CPU is scarce.
+const ANSWERS_BETWEEN_FIGURES: usize = 16;
 /// How far beyond its fellows a server must be before it counts as ill rather than unlucky.
 const ILL_MULTIPLE: f64 = 3.0;
 /// What all balancers together may always have at a server: less would leave the cores of any server idle.
@@ -43,15 +45,32 @@
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
 struct Sample {
-    kind: KindId,
+    group: usize,
     took: Span,
     /// Seconds taken for each second of hinted work.
     pace: f64,
 }
 
+/// What the last samples say, of all servers and of each group.
+struct Figures {
+    median: Span,
+    /// Nine tenths of answers took no longer.
+    most: Span,
+    work: f64,
+    paces: Vec<Option<Paces>>,
+}
+
+#[derive(Clone, Copy)]
+struct Paces {
+    median: f64,
+    /// The pace when nothing holds the group up. In a jam the latest samples all tell of waiting, so that the
+    /// waiting would pass for the servers' own slowness.
+    unhindered: f64,
+}
+
 struct Server {
     id: UpstreamId,
-    kind: KindId,
+    group: usize,
     zone: ZoneId,
     cell: CellId,
     size: f64,
@@ -99,29 +118,40 @@
     due: At,
 }
 
-/// The one shared table: the largest kind is default, the next tip, and each range owns the slots of the
-/// hashed key space from the end before it up to its own, inclusive; what lies above the last is default's.
+/// The one shared table. Group 0 is default, 1 the tip, the others are ranges, and each range owns the slots of
+/// the hashed key space from the end before it up to its own, inclusive; what lies above the last is default's.
 struct Table {
-    default: KindId,
-    tip: Option<KindId>,
+    kinds: Vec<KindId>,
+    ends: Vec<u64>,
     tip_share: f64,
-    ranges: Vec<(KindId, u64)>,
 }
 
+const DEFAULT: usize = 0;
+const TIP: usize = 1;
+
 pub struct Balancer<H> {
     host: H,
     terms: StartTerms,
     rng: Pcg,
-    table: Option<Table>,
+    table: Table,
     servers: Vec<Server>,
+    /// The ready servers of each group and, last, of all groups: id and place.
+    members: Vec<Vec<(u64, usize)>>,
+    doubted: Vec<usize>,
     places: BTreeMap<UpstreamId, usize>,
     ops: BTreeMap<OpId, Op>,
     /// Ops that no push may have run, best benefit first, then by target.
     queue: Vec<OpId>,
     fleet: Ring<Sample, FLEET_SAMPLES>,
-    /// The quicker paces of each kind, one for each round of fleet samples.
-    floors: Ring<(KindId, f64), FLOORS>,
+    /// The quicker paces of each group, one for each round of fleet samples.
+    floors: Ring<(usize, f64), FLOORS>,
     answers: usize,
+    figures: Option<Figures>,
+    /// What the weaker warm servers of each group bear for each unit of size, and when that was reckoned.
+    borne: Vec<Option<f64>>,
+    borne_at: Option<At>,
+    /// When an op last found no room anywhere, as long as nothing has ended since.
+    full_at: Option<At>,
     hints: Ring<f64, HINTS>,
     hints_seen: usize,
     tip_bound: f64,
@@ -144,29 +174,28 @@
     matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::NeverSent)
 }
 
-fn table_of(rows: &[Listing]) -> Option<Table> {
-    let mut kinds: BTreeMap<KindId, (usize, f64)> = BTreeMap::new();
+fn table_of(rows: &[Listing]) -> Table {
+    let mut sizes: BTreeMap<KindId, (usize, f64)> = BTreeMap::new();
     for row in rows.iter().filter(|row| row.condition != Condition::Gone) {
-        let (count, size) = kinds.entry(row.kind).or_default();
+        let (count, size) = sizes.entry(row.kind).or_default();
         *count += 1;
         *size += row.size;
     }
-    let size = |kind: KindId| kinds[&kind].1;
-    let mut order: Vec<KindId> = kinds.keys().copied().collect();
-    order.sort_by(|a, b| kinds[b].0.cmp(&kinds[a].0).then(size(*b).total_cmp(&size(*a))).then(a.cmp(b)));
-    let default = *order.first()?;
-    let tip = order.get(1).copied();
-    let mut ranged: Vec<KindId> = order.into_iter().skip(2).collect();
-    ranged.sort();
-    let keyed: f64 = size(default) + ranged.iter().map(|&kind| size(kind)).sum::<f64>();
+    let size = |kind: KindId| sizes[&kind].1;
+    let mut kinds: Vec<KindId> = sizes.keys().copied().collect();
+    kinds.sort_by(|a, b| sizes[b].0.cmp(&sizes[a].0).then(size(*b).total_cmp(&size(*a))).then(a.cmp(b)));
+    if kinds.len() > 2 {
+        kinds[2..].sort();
+    }
+    let total: f64 = kinds.iter().map(|&kind| size(kind)).sum();
+    let tip = kinds.get(TIP).map_or(0.0, |&kind| size(kind));
     let mut below = 0.0;
-    let end_of = |kind| {
+    let end_of = |&kind: &KindId| {
         below += size(kind);
-        (kind, (below / keyed * u64::MAX as f64) as u64)
+        (below / (total - tip) * u64::MAX as f64) as u64
     };
-    let ranges = ranged.into_iter().map(end_of).collect();
-    let tip_share = tip.map_or(0.0, |tip| size(tip) / (size(tip) + keyed));
-    Some(Table { default, tip, tip_share, ranges })
+    let ends = kinds.iter().skip(2).map(end_of).collect();
+    Table { kinds, ends, tip_share: if total > 0.0 { tip / total } else { 0.0 } }
 }
 
 impl<H: Host> Balancer<H> {
@@ -179,14 +208,20 @@
             host,
             terms,
             rng: Pcg::new(seed),
-            table: None,
+            table: table_of(&[]),
             servers: Vec::new(),
+            members: Vec::new(),
+            doubted: Vec::new(),
             places: BTreeMap::new(),
             ops: BTreeMap::new(),
             queue: Vec::new(),
             fleet: Ring::new(),
             floors: Ring::new(),
             answers: 0,
+            figures: None,
+            borne: Vec::new(),
+            borne_at: None,
+            full_at: None,
             hints: Ring::new(),
             hints_seen: 0,
             tip_bound: 0.0,
@@ -214,12 +249,19 @@
 
     pub fn list_changed(&mut self, now: At, rows: &[Listing]) {
         self.list_failures = 0;
+        if self.table.kinds.is_empty() {
+            self.table = table_of(rows);
+        }
         for row in rows {
             self.note_listing(now, row);
         }
-        if self.table.is_none() {
-            self.table = table_of(rows);
+        let groups = self.table.kinds.len();
+        self.members = vec![Vec::new(); groups + 1];
+        for (place, server) in self.servers.iter().enumerate().filter(|(_, server)| server.ready) {
+            self.members[server.group].push((u64::from(server.id.0), place));
+            self.members[groups].push((u64::from(server.id.0), place));
         }
+        (self.borne_at, self.full_at) = (None, None);
         self.serve_queue(now);
     }
 
@@ -233,7 +275,8 @@
             self.places.insert(row.upstream, self.servers.len());
             self.servers.push(Server {
                 id: row.upstream,
-                kind: row.kind,
+                // A kind that the table has not heard of belongs to default.
+                group: self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT),
                 zone: row.zone,
                 cell: row.cell,
                 size: row.size,
@@ -281,7 +324,8 @@
 
     pub fn op_arrived(&mut self, now: At, arrival: OpArrival) {
         let category = &self.terms.categories[usize::from(arrival.category.0)];
-        let work = arrival.hint.or_else(|| self.hints.quantile(0.5, |&hint| Some(hint))).unwrap_or(1.0);
+        // An absurd hint must not swamp the sums of work: nothing so large is ever answered in time.
+        let work = arrival.hint.unwrap_or_else(|| self.usual_work()).min(100.0 * category.ttl.secs());
         let target = category.target_latency + Span::from_secs(work * category.target_stretch);
         let mut benefit = category.benefit;
         if !self.is_in_share(now, arrival.tenant) {
@@ -327,13 +371,12 @@
     fn note_hint(&mut self, hint: f64) {
         self.hints.put(hint);
         self.hints_seen += 1;
-        let Some(table) = &self.table else { return };
         if !self.hints_seen.is_multiple_of(HINTS_BETWEEN_BOUNDS) {
             return;
         }
         let mut hints: Vec<f64> = self.hints.iter().copied().collect();
         hints.sort_unstable_by(f64::total_cmp);
-        let mut left = hints.iter().sum::<f64>() * table.tip_share;
+        let mut left = hints.iter().sum::<f64>() * self.table.tip_share;
         self.tip_bound = 0.0;
         // By whole runs of equal hints, each on its nearer side: a category may give one hint to all its ops.
         for equal in hints.chunk_by(|a, b| a == b) {
@@ -361,107 +404,99 @@
 
     // The ordinary path and its fallback.
 
-    fn home(&self, table: &Table, op: &Op) -> KindId {
-        if let (Some(tip), Some(hint)) = (table.tip, op.arrival.hint)
-            && hint <= self.tip_bound
-        {
-            return tip;
+    fn home(&self, op: &Op) -> usize {
+        if self.table.kinds.len() > TIP && op.arrival.hint.is_some_and(|hint| hint <= self.tip_bound) {
+            return TIP;
         }
-        let Some(key) = op.arrival.key else {
-            return table.default;
-        };
+        let Some(key) = op.arrival.key else { return DEFAULT };
         let slot = mix(key.0);
-        table.ranges.iter().find(|(_, end)| slot <= *end).map_or(table.default, |(kind, _)| *kind)
+        self.table.ends.iter().position(|&end| slot <= end).map_or(DEFAULT, |range| TIP + 1 + range)
     }
 
     /// Guards against heavy ops lost by the table alone: one that cannot make its target in its own group, by
     /// that group's unhindered pace, goes to the group with the quickest pace if it can make it there.
-    fn fitting(&self, now: At, table: &Table, op: &Op, home: KindId) -> KindId {
+    fn fitting(&self, now: At, op: &Op, home: usize) -> usize {
         let left = (op.target - now).secs();
-        let needs = |kind: KindId| self.unhindered_pace(kind).map(|pace| pace * op.work);
+        let needs = |group: usize| self.paces(group).map(|paces| paces.unhindered * op.work);
         if needs(home).is_none_or(|needed| needed <= left) {
             return home;
         }
-        let groups = table.ranges.iter().map(|(kind, _)| *kind).chain([table.default]).chain(table.tip);
-        let timed = groups.filter_map(|kind| Some((kind, needs(kind)?)));
+        let timed = (0..self.table.kinds.len()).filter_map(|group| Some((group, needs(group)?)));
         let quickest = timed.min_by(|(_, a), (_, b)| a.total_cmp(b));
-        quickest.filter(|(_, needed)| *needed <= left).map_or(home, |(kind, _)| kind)
+        quickest.filter(|(_, needed)| *needed <= left).map_or(home, |(group, _)| group)
     }
 
     fn choose(&mut self, now: At, op: OpId) -> Option<usize> {
-        let op = &self.ops[&op];
-        let table = self.table.as_ref()?;
-        let home = self.fitting(now, table, op, self.home(table, op));
-        let groups = [Some(home), Some(table.default).filter(|&default| default != home), None];
+        self.reckon_borne(now);
         let salt = u64::from(self.rng.draw());
-        for (place, group) in groups.iter().enumerate() {
-            if place > 0 && *group == groups[place - 1] {
-                continue;
-            }
-            let is_member =
-                |server: &Server| group.is_none_or(|kind| self.group_of(table, server.kind) == kind);
-            if let Some(found) = self.draw(now, op, salt, is_member) {
-                return Some(found);
-            }
+        let op = &self.ops[&op];
+        let all = self.table.kinds.len();
+        if self.full_at == Some(now) && op.pushes.is_empty() {
+            return None;
         }
+        let home = self.fitting(now, op, self.home(op));
+        let found = self.draw(now, op, salt, home);
+        let found = found.or_else(|| if home == DEFAULT { None } else { self.draw(now, op, salt, DEFAULT) });
+        let found = found.or_else(|| self.draw(now, op, salt, all));
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing.
-        let trusted = self.servers.iter().any(|server| server.ready && server.to_prove == 0);
-        if trusted {
-            return None;
+        let doubted = |&(_, place): &(u64, usize)| self.servers[place].to_prove > 0;
+        let found = found.or_else(|| {
+            let ready = self.members.get(all)?;
+            if !ready.iter().all(doubted) {
+                return None;
+            }
+            let open = ready.iter().filter(|(_, place)| self.may_get(now, op, *place));
+            let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
+            least.map(|&(_, place)| place)
+        });
+        if found.is_none() && op.pushes.is_empty() {
+            self.full_at = Some(now);
         }
-        let may_take = |(place, server): &(usize, &Server)| {
-            server.ready
-                && !op.pushes.iter().any(|push| push.server == *place)
-                && self.may_repeat_on(now, op, server)
-                && self.bears(now, server, op.work)
-        };
-        let open = self.servers.iter().enumerate().filter(may_take);
-        open.min_by_key(|(place, server)| (server.in_flight, mix(salt ^ *place as u64)))
-            .map(|(place, _)| place)
-    }
-
-    /// A kind that the table has not heard of goes to default.
-    fn group_of(&self, table: &Table, kind: KindId) -> KindId {
-        let listed = table.tip == Some(kind) || table.ranges.iter().any(|(ranged, _)| *ranged == kind);
-        if listed { kind } else { table.default }
+        found
     }
 
     /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so
     /// that it meets servers that know it; chance draws for an op without a key.
-    fn draw(&self, now: At, op: &Op, salt: u64, is_member: impl Fn(&Server) -> bool) -> Option<usize> {
+    fn draw(&self, now: At, op: &Op, salt: u64, group: usize) -> Option<usize> {
+        let members = self.members.get(group)?;
+        let is_tried = |place: &&usize| {
+            let server = &self.servers[**place];
+            let is_member = server.ready && (server.group == group || group == self.table.kinds.len());
+            is_member && self.may_try(now, op, **place)
+        };
+        if let Some(&place) = self.doubted.iter().find(is_tried) {
+            return Some(place);
+        }
+        let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
-        let basis = op.arrival.key.map_or(salt, |key| key.0);
-        for (place, server) in self.servers.iter().enumerate() {
-            if !server.ready || !is_member(server) || !self.may_take(now, op, place) {
+        for &(id, place) in members {
+            let drawn = Some((mix(basis ^ id), place));
+            if drawn <= best[1] || !self.may_take(now, op, place) {
                 continue;
             }
-            if server.to_prove > 0 {
-                return Some(place);
-            }
-            let drawn = Some((mix(mix(basis) ^ u64::from(server.id.0)), place));
-            if drawn > best[0] {
-                best = [drawn, best[0]];
-            } else if drawn > best[1] {
-                best[1] = drawn;
-            }
+            best = if drawn > best[0] { [drawn, best[0]] } else { [best[0], drawn] };
         }
         let (_, first) = best[0]?;
-        let Some((_, second)) = best[1] else {
-            return Some(first);
-        };
+        let Some((_, second)) = best[1] else { return Some(first) };
         Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
     }
 
+    fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
+        let server = &self.servers[place];
+        let is_new = !op.pushes.iter().any(|push| push.server == place);
+        is_new && self.may_repeat_on(now, op, server) && self.bears(now, server, op.work)
+    }
+
+    fn may_try(&self, now: At, op: &Op, place: usize) -> bool {
+        let server = &self.servers[place];
+        let is_due = now >= server.trial_from && server.in_flight == 0 && op.pushes.is_empty();
+        is_due && self.may_try_out(op) && self.may_get(now, op, place)
+    }
+
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        if op.pushes.iter().any(|push| push.server == place) || !self.may_repeat_on(now, op, server) {
-            return false;
-        }
-        if server.to_prove > 0 {
-            let on_trial = now >= server.trial_from && server.in_flight == 0 && op.pushes.is_empty();
-            return on_trial && self.may_try_out(op) && self.bears(now, server, op.work);
-        }
-        now >= server.rests_until && !self.is_silent(now, server) && self.bears(now, server, op.work)
+        let is_well = server.to_prove == 0 && now >= server.rests_until && !self.is_silent(now, server);
+        is_well && self.may_get(now, op, place)
     }
 
     /// A server that failed is tried with the ops that lose least if it fails again.
@@ -496,42 +531,60 @@
 
     // Health.
 
-    fn pace(&self, kind: KindId, part: f64) -> Option<f64> {
-        self.fleet.quantile(part, |sample| (sample.kind == kind).then_some(sample.pace))
+    /// A server does not know whose ops wait: the category with the least time to lose sets the bound.
+    fn least_target(&self) -> Span {
+        self.terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(Span::ZERO)
     }
 
-    fn took(&self, part: f64) -> Option<Span> {
-        self.fleet.quantile(part, |sample| Some(sample.took.secs())).map(Span::from_secs)
+    fn paces(&self, group: usize) -> Option<Paces> {
+        self.figures.as_ref()?.paces[group]
     }
 
-    /// A server does not know whose ops wait: the category with the least time to lose sets the bound.
-    fn least_target(&self) -> Span {
-        self.terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(Span::ZERO)
+    fn median(&self) -> Span {
+        self.figures.as_ref().map_or(Span::ZERO, |figures| figures.median)
     }
 
-    /// The pace of a kind when nothing holds it up. In a jam the latest samples all tell of waiting, so that
-    /// the waiting would pass for the servers' own slowness.
-    fn unhindered_pace(&self, kind: KindId) -> Option<f64> {
-        let floors = self.floors.iter().filter(|(of, _)| *of == kind).map(|(_, pace)| *pace);
-        floors.min_by(f64::total_cmp).or_else(|| self.pace(kind, 0.25))
+    /// As long as most answers take; before the first a guess that errs on the patient side.
+    fn most(&self) -> Span {
+        self.figures.as_ref().map_or(Span::from_secs(1.0), |figures| figures.most)
     }
 
-    fn note_floors(&mut self) {
-        let mut kinds: Vec<KindId> = self.fleet.iter().map(|sample| sample.kind).collect();
-        kinds.sort_unstable();
-        kinds.dedup();
-        for kind in kinds {
-            if let Some(pace) = self.pace(kind, 0.25) {
-                self.floors.put((kind, pace));
+    fn usual_work(&self) -> f64 {
+        self.figures.as_ref().map_or(1.0, |figures| figures.work)
+    }
+
+    fn note_sample(&mut self, sample: Sample) {
+        self.fleet.put(sample);
+        self.answers += 1;
+        if self.answers > ANSWERS_BETWEEN_FIGURES && !self.answers.is_multiple_of(ANSWERS_BETWEEN_FIGURES) {
+            return;
+        }
+        let took =
+            |part| Span::from_secs(self.fleet.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
+        let (median, most) = (took(0.5), took(0.9));
+        let hints = self.hints.len();
+        let work = if hints == 0 { 1.0 } else { self.hints.iter().sum::<f64>() / hints as f64 };
+        let mut paces = Vec::with_capacity(self.table.kinds.len());
+        for group in 0..self.table.kinds.len() {
+            let pace = |part| self.fleet.quantile(part, |of| (of.group == group).then_some(of.pace));
+            let (quicker, median) = (pace(0.25), pace(0.5));
+            if let Some(quicker) = quicker.filter(|_| self.answers.is_multiple_of(FLEET_SAMPLES / 2)) {
+                self.floors.put((group, quicker));
             }
+            let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
+            let unhindered = floors.min_by(f64::total_cmp).or(quicker);
+            paces.push(
+                unhindered.map(|unhindered| Paces { median: median.unwrap_or(unhindered), unhindered }),
+            );
         }
+        self.figures = Some(Figures { median, most, work, paces });
     }
 
-    /// How long an op of this work may stay unanswered on a server of this kind before that means something.
-    fn patience(&self, kind: KindId, work: f64) -> Option<Span> {
-        let usual = self.took(0.9)?;
-        let own = self.pace(kind, 0.5).map_or(usual, |pace| Span::from_secs(ILL_MULTIPLE * pace * work));
-        Some(usual.max(own))
+    /// How long an op of this work may stay unanswered in this group before that means something.
+    fn patience(&self, group: usize, work: f64) -> Option<Span> {
+        let most = self.figures.as_ref()?.most;
+        let own = self.paces(group).map_or(0.0, |paces| ILL_MULTIPLE * paces.median * work);
+        Some(most.max(Span::from_secs(own)))
     }
 
     /// Guards against a server that takes ops and answers none, while others answer.
@@ -542,11 +595,11 @@
         if self.answered_at.is_none_or(|at| at <= since) {
             return false;
         }
-        self.patience(server.kind, server.owed_work).is_some_and(|patience| now - since > patience)
+        self.patience(server.group, server.owed_work).is_some_and(|patience| now - since > patience)
     }
 
     fn set_aside(&mut self, now: At, place: usize, why: &str) {
-        let wait = self.took(0.9).unwrap_or(Span::from_secs(1.0));
+        let wait = self.most();
         let server = &mut self.servers[place];
         // What was out when it was set aside fails together: one failure, not a relapse for each.
         if server.to_prove > 0 && now < server.trial_from {
@@ -554,6 +607,9 @@
         }
         let wait = wait.times(f64::from(2u32 << server.relapses.min(3)) * (0.75 + 0.5 * self.rng.unit()));
         server.relapses += 1;
+        if server.to_prove == 0 {
+            self.doubted.push(place);
+        }
         server.to_prove = 1 + server.relapses.min(4);
         server.trial_from = now + wait;
         server.good_in_a_row = 0;
@@ -590,34 +646,43 @@
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
-        let window = self.terms.cold.fall_window;
-        let sent = server.sent.within(now, window);
-        // Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that
-        // of the weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
-        let warm = |other: &&Server| {
-            let is_known = other.ready && other.kind == server.kind && other.to_prove == 0;
-            is_known && self.cold_share(now, other) >= 1.0
-        };
-        let warm = self.servers.iter().filter(warm);
-        let mut borne: Vec<f64> = warm.map(|other| other.answered.within(now, window) / other.size).collect();
-        if borne.is_empty() {
+        let Some(borne) = self.borne[server.group] else {
             // Nobody to go by: one op at a time, which a server can only finish as fast as it is able to.
-            return in_flight == 0.0
-                && self.hints.quantile(0.5, |&hint| Some(hint)).is_none_or(|usual| work <= usual);
-        }
-        let weak = borne.len() / 4;
-        let weak = *borne.select_nth_unstable_by(weak, f64::total_cmp).1;
-        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * weak * server.size;
+            return in_flight == 0.0 && work <= self.usual_work();
+        };
+        let sent = server.sent.within(now, self.terms.cold.fall_window);
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         sent + work <= budget && in_flight < server.limit.max(1.0)
     }
 
+    /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
+    /// the weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
+    fn reckon_borne(&mut self, now: At) {
+        let window = self.terms.cold.fall_window;
+        if self.borne_at.is_some_and(|at| now - at < window.times(0.05)) {
+            return;
+        }
+        self.borne_at = Some(now);
+        let mut borne: Vec<Vec<f64>> = vec![Vec::new(); self.table.kinds.len()];
+        for server in self.servers.iter().filter(|server| server.ready && server.to_prove == 0) {
+            if self.cold_share(now, server) >= 1.0 {
+                borne[server.group].push(server.answered.within(now, window) / server.size);
+            }
+        }
+        let weak = |of: &mut Vec<f64>| {
+            let place = of.len() / 4;
+            (!of.is_empty()).then(|| *of.select_nth_unstable_by(place, f64::total_cmp).1)
+        };
+        self.borne = borne.iter_mut().map(weak).collect();
+    }
+
     // Pushes.
 
     fn place(&mut self, now: At, op: OpId) -> bool {
         let Some(place) = self.choose(now, op) else {
             return false;
         };
-        let patience = self.patience(self.servers[place].kind, self.ops[&op].work);
+        let patience = self.patience(self.servers[place].group, self.ops[&op].work);
         let state = self.ops.get_mut(&op).expect("an op that is placed is held");
         state.queued = false;
         state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
@@ -642,13 +707,12 @@
     /// No further pushes while overload is seen: they would feed it.
     fn may_push_again(&self, now: At, op: OpId) -> bool {
         let state = &self.ops[&op];
-        let in_time = state.ends - now > self.took(0.5).unwrap_or(Span::ZERO);
+        let in_time = state.ends - now > self.median();
         state.pushes.len() < MOST_PUSHES.min(self.terms.max_pushes.into()) && in_time && !self.is_crowded(now)
     }
 
     fn is_crowded(&self, now: At) -> bool {
-        let recent = self.took(0.9).unwrap_or(Span::from_secs(1.0));
-        !self.queue.is_empty() || self.crowded_at.is_some_and(|at| now - at < recent)
+        !self.queue.is_empty() || self.crowded_at.is_some_and(|at| now - at < self.most())
     }
 
     pub fn alarm_rang(&mut self, now: At, alarm: AlarmId) {
@@ -673,6 +737,7 @@
             return;
         };
         self.out = self.out.saturating_sub(1);
+        self.full_at = None;
         self.note_ending(now, place, &end);
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
@@ -716,7 +781,7 @@
             Ending::Full => {
                 self.cut_limit(now, place, end.took);
                 // A full server answers at once and so looks idle: without a rest it would draw op after op.
-                let usual = self.took(0.5).unwrap_or(Span::from_secs(0.1));
+                let usual = self.median();
                 let server = &mut self.servers[place];
                 server.rests_until = now + usual.times(f64::from(1u32 << server.fulls.min(5)));
                 server.fulls += 1;
@@ -741,27 +806,27 @@
         let Some(state) = self.ops.get(&end.op) else {
             return;
         };
-        let (kind, work) = (self.servers[place].kind, state.work);
+        let (group, work) = (self.servers[place].group, state.work);
         let pace = end.took.secs() / work;
         // Time beyond what the op's own work explains was spent waiting at the server.
-        let unhindered = self.unhindered_pace(kind).unwrap_or(pace);
+        let unhindered = self.paces(group).map_or(pace, |paces| paces.unhindered);
         let waited = end.took.secs() - work * unhindered;
-        let usual_work = self.hints.iter().sum::<f64>() / self.hints.len().max(1) as f64;
-        let bound = (LATE_WAIT * self.least_target().secs()).min(CROWD * usual_work.max(work) * unhindered);
-        let sample = Sample { kind, took: end.took, pace };
-        self.fleet.put(sample);
-        self.answers += 1;
-        if self.answers.is_multiple_of(FLEET_SAMPLES / 2) {
-            self.note_floors();
-        }
+        let crowd = CROWD * self.usual_work().max(work) * unhindered;
+        let bound = crowd.min(LATE_WAIT * self.least_target().secs());
+        self.note_sample(Sample { group, took: end.took, pace });
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.fall_window, work);
         if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
-        server.to_prove = server.to_prove.saturating_sub(1);
         server.fulls = 0;
+        if server.to_prove > 0 {
+            server.to_prove -= 1;
+            if server.to_prove == 0 {
+                self.doubted.retain(|&doubted| doubted != place);
+            }
+        }
         if waited > bound {
             self.cut_limit(now, place, end.took);
         } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
@@ -801,7 +866,7 @@
 
     fn enqueue(&mut self, now: At, op: OpId) {
         self.crowded_at = Some(now);
-        let pace = self.fleet.quantile(0.5, |sample| Some(sample.pace)).unwrap_or(0.0);
+        let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
         state.due = At(state.target.0.saturating_sub(Span::from_secs(pace * state.work).0));
         // Nothing out means that no room will come free: a quick nack beats a wait for one.
@@ -817,7 +882,7 @@
         };
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
-        let turn = self.took(0.5).unwrap_or(Span::ZERO).secs() / f64::from(self.out);
+        let turn = self.median().secs() / f64::from(self.out);
         while let Some(&last) = self.queue.last() {
             if now + Span::from_secs(turn * self.queue.len() as f64) <= self.ops[&last].due {
                 break;
@@ -845,8 +910,7 @@
         if !harmless {
             self.host.dead_letter(op);
         } else if self.is_crowded(now) {
-            let usual = self.took(0.9).unwrap_or(Span::from_secs(1.0));
-            let wait = usual.times(0.5 + self.rng.unit());
+            let wait = self.most().times(0.5 + self.rng.unit());
             self.host.nack(op, self.terms.longest_stay_away.map(|most| wait.min(most)));
         } else {
             self.host.nack(op, None);
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -52,17 +52,26 @@
 
 /// Amounts of work and when they came.
 #[derive(Default)]
-pub struct Work(VecDeque<(At, f64)>);
+pub struct Work {
+    came: VecDeque<(At, f64)>,
+    total: f64,
+}
 
 impl Work {
     pub fn put(&mut self, now: At, window: Span, work: f64) {
-        while self.0.front().is_some_and(|(at, _)| now - *at >= window) {
-            self.0.pop_front();
+        while let Some((_, gone)) = self.came.pop_front_if(|(at, _)| now - *at >= window) {
+            self.total -= gone;
+        }
+        if self.came.is_empty() {
+            // Subtraction leaves a little behind each time.
+            self.total = 0.0;
         }
-        self.0.push_back((now, work));
+        self.came.push_back((now, work));
+        self.total += work;
     }
 
     pub fn within(&self, now: At, window: Span) -> f64 {
-        self.0.iter().filter(|(at, _)| now - *at < window).map(|(_, work)| work).sum()
+        let gone = self.came.iter().take_while(|(at, _)| now - *at >= window).map(|(_, work)| work);
+        (self.total - gone.sum::<f64>()).max(0.0)
     }
 }
