--- a/src/policy.rs
+++ b/src/policy.rs
@@ -267,7 +267,8 @@
 
     fn note_listing(&mut self, now: At, row: &Listing) {
         let started = row.up_since.filter(|&up| now - up < self.terms.cold.warm_within);
-        let first_limit = FIRST_LIMIT / f64::from(self.terms.balancers.max(1));
+        let first_limit = self.terms.each(FIRST_LIMIT);
+        let cold_limit = self.terms.each(LEAST_LIMIT).min(1.0);
         let Some(&place) = self.places.get(&row.upstream) else {
             if row.condition == Condition::Gone {
                 return;
@@ -284,7 +285,7 @@
                 up_since: row.up_since,
                 cold_from: started,
                 in_flight: 0,
-                limit: if started.is_some() { 1.0 } else { first_limit },
+                limit: if started.is_some() { cold_limit } else { first_limit },
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
@@ -306,7 +307,7 @@
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
             server.cold_from = started.max(server.cold_from);
-            server.limit = if started.is_some() { 1.0 } else { server.limit };
+            server.limit = if started.is_some() { cold_limit } else { server.limit };
             server.cut = false;
         }
     }
@@ -355,7 +356,7 @@
         let Some(share) = self.terms.tenant_shares.get(usize::from(tenant.0)) else {
             return true;
         };
-        let most = (share / f64::from(self.terms.balancers)).ceil() as usize;
+        let most = self.terms.each(*share).ceil() as usize;
         let counted = &mut self.in_share[usize::from(tenant.0)];
         while counted.front().is_some_and(|&at| now - at > Span::from_secs(1.0)) {
             counted.pop_front();
@@ -789,7 +790,7 @@
             Ending::ConnectFailed | Ending::Reset => {
                 // It may be starting anew, which the list will tell only seconds later.
                 server.cold_from = Some(now);
-                server.limit = 1.0;
+                server.limit = self.terms.each(LEAST_LIMIT).min(1.0);
                 server.cut = false;
                 self.set_aside(now, place, "its connection failed");
             }
@@ -832,7 +833,7 @@
         } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
             // By one for all balancers together: each of ten growing by one would overshoot by ten. But at once
             // by one each where nothing was cut yet, or a server that has warmed up would stay idle.
-            let step = if server.cut { 1.0 / f64::from(self.terms.balancers.max(1)) } else { 1.0 };
+            let step = if server.cut { self.terms.each(1.0) } else { 1.0 };
             server.limit += step / server.limit.max(1.0);
         }
     }
@@ -843,8 +844,7 @@
         if now - server.cut_at > took {
             server.cut_at = now;
             let used = server.limit.min(f64::from(server.in_flight.max(1)));
-            server.limit =
-                (used * LIMIT_KEPT).max((LEAST_LIMIT / f64::from(self.terms.balancers.max(1))).min(1.0));
+            server.limit = (used * LIMIT_KEPT).max(self.terms.each(LEAST_LIMIT).min(1.0));
             server.cut = true;
         }
     }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -50,3 +50,10 @@
     pub ask_within: Span,
     pub cold: ColdStart,
 }
+
+impl StartTerms {
+    /// One balancer's part of what all of them may do together.
+    pub fn each(&self, together: f64) -> f64 {
+        together / f64::from(self.balancers.max(1))
+    }
+}
