--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,7 @@
 /// The part of the least target latency that may be spent waiting at a server before it counts as too full.
 const LATE_WAIT: f64 = 0.25;
 /// So many usual ops waited for ahead of one's own and a server is crowded: it may do less for holding more.
-const CROWD: f64 = 0.75;
+const CROWD: f64 = 0.4;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
