--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,10 +30,8 @@
 const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
-/// The part of the least target latency that may be spent waiting at a server before it counts as too full.
-const LATE_WAIT: f64 = 0.25;
 /// So many usual ops waited for ahead of one's own and a server is crowded: it may do less for holding more.
-const CROWD: f64 = 0.4;
+const CROWD: f64 = 0.75;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
@@ -532,11 +530,6 @@
 
     // Health.
 
-    /// A server does not know whose ops wait: the category with the least time to lose sets the bound.
-    fn least_target(&self) -> Span {
-        self.terms.categories.iter().map(|category| category.target_latency).min().unwrap_or(Span::ZERO)
-    }
-
     fn paces(&self, group: usize) -> Option<Paces> {
         self.figures.as_ref()?.paces[group]
     }
@@ -812,8 +805,7 @@
         // Time beyond what the op's own work explains was spent waiting at the server.
         let unhindered = self.paces(group).map_or(pace, |paces| paces.unhindered);
         let waited = end.took.secs() - work * unhindered;
-        let crowd = CROWD * self.usual_work().max(work) * unhindered;
-        let bound = crowd.min(LATE_WAIT * self.least_target().secs());
+        let bound = CROWD * self.usual_work().max(work) * unhindered;
         self.note_sample(Sample { group, took: end.took, pace });
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
