--- a/src/policy.rs
+++ b/src/policy.rs
@@ -477,7 +477,9 @@
         }
         let (_, first) = best[0]?;
         let Some((_, second)) = best[1] else { return Some(first) };
-        Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
+        let keeps = if op.arrival.key.is_some() { 1 } else { 0 };
+        let relieved = self.servers[second].in_flight + keeps < self.servers[first].in_flight;
+        Some(if relieved { second } else { first })
     }
 
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
