--- a/src/policy.rs
+++ b/src/policy.rs
@@ -413,10 +413,10 @@
     }
 
     /// Guards against heavy ops lost by the table alone: one that cannot make its target in its own group, by
-    /// that group's unhindered pace, goes to the group with the quickest pace if it can make it there.
+    /// that group's median pace, goes to the group with the quickest pace if it can make it there.
     fn fitting(&self, now: At, op: &Op, home: usize) -> usize {
         let left = (op.target - now).secs();
-        let needs = |group: usize| self.paces(group).map(|paces| paces.unhindered * op.work);
+        let needs = |group: usize| self.paces(group).map(|paces| paces.median * op.work);
         if needs(home).is_none_or(|needed| needed <= left) {
             return home;
         }
@@ -477,9 +477,7 @@
         }
         let (_, first) = best[0]?;
         let Some((_, second)) = best[1] else { return Some(first) };
-        let keeps = if op.arrival.key.is_some() { 1 } else { 0 };
-        let relieved = self.servers[second].in_flight + keeps < self.servers[first].in_flight;
-        Some(if relieved { second } else { first })
+        Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
     }
 
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
