--- a/src/policy.rs
+++ b/src/policy.rs
@@ -141,7 +141,7 @@
     /// Ops that no push may have run, best benefit first, then by target.
     queue: Vec<OpId>,
     fleet: Ring<Sample, FLEET_SAMPLES>,
-    /// The quicker paces of each group, one for each round of fleet samples.
+    /// The median paces of each group, one for each round of fleet samples.
     floors: Ring<(usize, f64), FLOORS>,
     answers: usize,
     figures: Option<Figures>,
@@ -560,13 +560,12 @@
         let work = if hints == 0 { 1.0 } else { self.hints.iter().sum::<f64>() / hints as f64 };
         let mut paces = Vec::with_capacity(self.table.kinds.len());
         for group in 0..self.table.kinds.len() {
-            let pace = |part| self.fleet.quantile(part, |of| (of.group == group).then_some(of.pace));
-            let (quicker, median) = (pace(0.25), pace(0.5));
-            if let Some(quicker) = quicker.filter(|_| self.answers.is_multiple_of(FLEET_SAMPLES / 2)) {
-                self.floors.put((group, quicker));
+            let median = self.fleet.quantile(0.5, |of| (of.group == group).then_some(of.pace));
+            if let Some(median) = median.filter(|_| self.answers.is_multiple_of(FLEET_SAMPLES / 2)) {
+                self.floors.put((group, median));
             }
             let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
-            let unhindered = floors.min_by(f64::total_cmp).or(quicker);
+            let unhindered = floors.min_by(f64::total_cmp).or(median);
             paces.push(
                 unhindered.map(|unhindered| Paces { median: median.unwrap_or(unhindered), unhindered }),
             );
