--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,10 @@
 const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
-/// So many usual ops waited for ahead of one's own and a server is crowded: it may do less for holding more.
-const CROWD: f64 = 0.75;
+/// A server whose last answers took so many times what their work explains is crowded.
+const CROWDED: f64 = 1.25;
+/// Enough answers to even out which of them met a kept key, few enough to follow a burst.
+const SERVER_SAMPLES: usize = 8;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
@@ -81,6 +83,8 @@
     cut_at: At,
     cut: bool,
     good_in_a_row: u32,
+    /// What the last answers took, and what their work explains, in seconds.
+    recent: Ring<(f64, f64), SERVER_SAMPLES>,
     /// Since when it owes an answer and has given none, and the largest work it got in that time.
     owes_since: Option<At>,
     owed_work: f64,
@@ -287,6 +291,7 @@
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
+                recent: Ring::new(),
                 owes_since: None,
                 owed_work: 0.0,
                 to_prove: 0,
@@ -801,10 +806,7 @@
         };
         let (group, work) = (self.servers[place].group, state.work);
         let pace = end.took.secs() / work;
-        // Time beyond what the op's own work explains was spent waiting at the server.
-        let unhindered = self.paces(group).map_or(pace, |paces| paces.unhindered);
-        let waited = end.took.secs() - work * unhindered;
-        let bound = CROWD * self.usual_work().max(work) * unhindered;
+        let explained = work * self.paces(group).map_or(pace, |paces| paces.unhindered);
         self.note_sample(Sample { group, took: end.took, pace });
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
@@ -819,9 +821,12 @@
                 self.doubted.retain(|&doubted| doubted != place);
             }
         }
-        if waited > bound {
+        server.recent.put((end.took.secs(), explained));
+        let sums = server.recent.iter().fold((0.0, 0.0), |sums, of| (sums.0 + of.0, sums.1 + of.1));
+        let crowding = sums.0 / sums.1;
+        if crowding > CROWDED {
             self.cut_limit(now, place, end.took);
-        } else if waited < bound / 2.0 && f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
+        } else if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
             // By one for all balancers together: each of ten growing by one would overshoot by ten. But at once
             // by one each where nothing was cut yet, or a server that has warmed up would stay idle.
             let step = if server.cut { self.terms.each(1.0) } else { 1.0 };
