--- a/src/policy.rs
+++ b/src/policy.rs
@@ -312,6 +312,8 @@
             server.cold_from = started.max(server.cold_from);
             server.limit = if started.is_some() { cold_limit } else { server.limit };
             server.cut = false;
+            // A new process answers for itself, not for the failures of the old one.
+            (server.trial_from, server.relapses) = (now, 0);
         }
     }
 
@@ -598,12 +600,17 @@
 
     fn set_aside(&mut self, now: At, place: usize, why: &str) {
         let wait = self.most();
+        // A trial costs one push; to be without a server that is well again costs more, above all when many
+        // failed at once.
+        let longest = self.terms.categories.iter().map(|category| category.target_latency).max();
+        let longest = longest.unwrap_or(wait);
         let server = &mut self.servers[place];
         // What was out when it was set aside fails together: one failure, not a relapse for each.
         if server.to_prove > 0 && now < server.trial_from {
             return;
         }
-        let wait = wait.times(f64::from(2u32 << server.relapses.min(3)) * (0.75 + 0.5 * self.rng.unit()));
+        let wait = wait.times(f64::from(2u32 << server.relapses.min(3))).min(longest);
+        let wait = wait.times(0.75 + 0.5 * self.rng.unit());
         server.relapses += 1;
         if server.to_prove == 0 {
             self.doubted.push(place);
