Take back the budget from a cold server's own answers

The rule's safety comes first: the budget stays a fifth of the lawful part of what the weaker warm servers answer.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,11 +40,7 @@
 const FIRST_LIMIT: f64 = 16.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
 /// that it is judged by look several times larger than it may be.
-const COLD_MARGIN: f64 = 0.3;
-/// The same of the work that it answered itself, which only its kept keys make look larger.
-const OWN_MARGIN: f64 = 0.7;
-/// So many usual ops, over all balancers, go to a cold server that has been sent nothing for a window.
-const LEARNING: f64 = 3.0;
+const COLD_MARGIN: f64 = 0.2;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
@@ -72,8 +68,6 @@
     /// The pace when nothing holds the group up. In a jam the latest samples all tell of waiting, so that the
     /// waiting would pass for the servers' own slowness.
     unhindered: f64,
-    /// The pace of ops whose keys the servers do not know.
-    unknown: f64,
 }
 
 struct Server {
@@ -576,18 +570,15 @@
         let work = if hints == 0 { 1.0 } else { self.hints.iter().sum::<f64>() / hints as f64 };
         let mut paces = Vec::with_capacity(self.table.kinds.len());
         for group in 0..self.table.kinds.len() {
-            let pace = |part| self.fleet.quantile(part, |of| (of.group == group).then_some(of.pace));
-            let (median, unknown) = (pace(0.5), pace(0.9));
+            let median = self.fleet.quantile(0.5, |of| (of.group == group).then_some(of.pace));
             if let Some(median) = median.filter(|_| self.answers.is_multiple_of(FLEET_SAMPLES / 2)) {
                 self.floors.put((group, median));
             }
             let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
             let unhindered = floors.min_by(f64::total_cmp).or(median);
-            paces.push(unhindered.zip(unknown).map(|(unhindered, unknown)| Paces {
-                median: median.unwrap_or(unhindered),
-                unhindered,
-                unknown,
-            }));
+            paces.push(
+                unhindered.map(|unhindered| Paces { median: median.unwrap_or(unhindered), unhindered }),
+            );
         }
         self.figures = Some(Figures { median, most, work, paces });
     }
@@ -663,17 +654,13 @@
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
-        let window = self.terms.cold.fall_window;
-        let sent = server.sent.within(now, window);
-        if sent == 0.0 && in_flight == 0.0 && work <= self.terms.each(LEARNING * self.usual_work()) {
-            // Nothing is known of a server that has been sent nothing: it takes an op or two to learn.
-            return true;
-        }
-        let by_others =
-            self.borne[server.group].map_or(0.0, |borne| share * COLD_MARGIN * borne * server.size);
-        // What it answered within a window it can do, whatever the others are.
-        let by_itself = OWN_MARGIN * server.answered.within(now, window);
-        let budget = self.terms.cold.fall_multiple * by_others.max(by_itself);
+        let Some(borne) = self.borne[server.group] else {
+            // Nobody to go by: one op at a time, which a server can only finish as fast as it is able to.
+            return in_flight == 0.0
+                && work <= self.usual_work() * share / self.terms.cold.least_share.max(1e-3);
+        };
+        let sent = server.sent.within(now, self.terms.cold.fall_window);
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         sent + work <= budget && in_flight < server.limit.max(1.0)
     }
 
@@ -832,13 +819,11 @@
         };
         let (group, work) = (self.servers[place].group, state.work);
         let pace = end.took.secs() / work;
-        // A kept key spares the server most of the work: by its time alone it did no more than this.
-        let done = self.paces(group).map_or(0.0, |paces| work.min(end.took.secs() / paces.unknown));
         let explained = work * self.paces(group).map_or(pace, |paces| paces.unhindered);
         self.note_sample(Sample { group, took: end.took, pace });
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
-        server.answered.put(now, self.terms.cold.fall_window, done);
+        server.answered.put(now, self.terms.cold.fall_window, work);
         if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
