--- a/src/policy.rs
+++ b/src/policy.rs
@@ -785,7 +785,6 @@
 
     fn note_ending(&mut self, now: At, place: usize, end: &PushEnd) {
         let silent = self.is_silent(now, &self.servers[place]);
-        let server = &mut self.servers[place];
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.set_aside(now, place, "an error"),
@@ -799,13 +798,17 @@
             }
             Ending::ConnectFailed | Ending::Reset => {
                 // It may be starting anew, which the list will tell only seconds later.
+                let server = &mut self.servers[place];
                 server.cold_from = Some(now);
                 server.limit = self.terms.each(LEAST_LIMIT).min(1.0);
                 server.cut = false;
                 self.set_aside(now, place, "its connection failed");
             }
             Ending::TimedOut | Ending::Cancelled => {
-                if silent && server.to_prove == 0 && self.can_spare(place) {
+                if end.ending == Ending::TimedOut {
+                    self.cut_limit(now, place, end.took);
+                }
+                if silent && self.servers[place].to_prove == 0 && self.can_spare(place) {
                     self.set_aside(now, place, "no answer");
                 }
             }
@@ -840,9 +843,9 @@
         if crowding > CROWDED {
             self.cut_limit(now, place, end.took);
         } else if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            // By one for all balancers together: each of ten growing by one would overshoot by ten. But at once
-            // by one each where nothing was cut yet, or a server that has warmed up would stay idle.
-            let step = if server.cut { self.terms.each(1.0) } else { 1.0 };
+            // By one for all balancers together: each of ten growing by one would overshoot by ten. But faster
+            // where nothing was cut yet, or a server that has warmed up would stay idle.
+            let step = if server.cut { self.terms.each(1.0) } else { self.terms.each(LEAST_LIMIT).min(1.0) };
             server.limit += step / server.limit.max(1.0);
         }
     }
