--- a/src/policy.rs
+++ b/src/policy.rs
@@ -601,8 +601,9 @@
         self.patience(server.group, server.owed_work).is_some_and(|patience| now - since > patience)
     }
 
-    fn set_aside(&mut self, now: At, place: usize, why: &str) {
-        let wait = self.most();
+    fn set_aside(&mut self, now: At, place: usize, took: Span, why: &str) {
+        // What kept a push so long will not be over sooner; quick answers of others say nothing of that.
+        let wait = self.most().max(took);
         // A trial costs one push; to be without a server that is well again costs more, above all when many
         // failed at once.
         let longest = self.terms.categories.iter().map(|category| category.target_latency).max();
@@ -787,7 +788,7 @@
         let silent = self.is_silent(now, &self.servers[place]);
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
-            Ending::Error => self.set_aside(now, place, "an error"),
+            Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
             Ending::Full => {
                 self.cut_limit(now, place, end.took);
                 // A full server answers at once and so looks idle: without a rest it would draw op after op.
@@ -802,14 +803,14 @@
                 server.cold_from = Some(now);
                 server.limit = self.terms.each(LEAST_LIMIT).min(1.0);
                 server.cut = false;
-                self.set_aside(now, place, "its connection failed");
+                self.set_aside(now, place, Span::ZERO, "its connection failed");
             }
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
                     self.cut_limit(now, place, end.took);
                 }
                 if silent && self.servers[place].to_prove == 0 && self.can_spare(place) {
-                    self.set_aside(now, place, "no answer");
+                    self.set_aside(now, place, end.took, "no answer");
                 }
             }
             Ending::NeverSent => {}
