--- a/src/policy.rs
+++ b/src/policy.rs
@@ -380,7 +380,9 @@
     fn note_hint(&mut self, hint: f64) {
         self.hints.put(hint);
         self.hints_seen += 1;
-        if !self.hints_seen.is_multiple_of(HINTS_BETWEEN_BOUNDS) {
+        // The first few bounds are rough, but without any the tip idles and default starts with a jam.
+        let is_early = self.hints_seen < HINTS_BETWEEN_BOUNDS && self.hints_seen.is_power_of_two();
+        if !is_early && !self.hints_seen.is_multiple_of(HINTS_BETWEEN_BOUNDS) {
             return;
         }
         let mut hints: Vec<f64> = self.hints.iter().copied().collect();
@@ -571,7 +573,10 @@
         let mut paces = Vec::with_capacity(self.table.kinds.len());
         for group in 0..self.table.kinds.len() {
             let median = self.fleet.quantile(0.5, |of| (of.group == group).then_some(of.pace));
-            if let Some(median) = median.filter(|_| self.answers.is_multiple_of(FLEET_SAMPLES / 2)) {
+            // The first answers too: if a jam follows the start, they alone tell of a time without one.
+            let is_round =
+                self.answers == ANSWERS_BETWEEN_FIGURES || self.answers.is_multiple_of(FLEET_SAMPLES / 2);
+            if let Some(median) = median.filter(|_| is_round) {
                 self.floors.put((group, median));
             }
             let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
