--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,8 +122,8 @@
     due: At,
 }
 
-/// The one shared table. Group 0 is default, 1 the tip, the others are ranges, and each range owns the slots of
-/// the hashed key space from the end before it up to its own, inclusive; what lies above the last is default's.
+/// The one shared table. Group 0 is default, 1 the tip, the others are ranges, and each range owns the slots
+/// of the hashed key space from the end before it up to its own, inclusive; the rest above is default's.
 struct Table {
     kinds: Vec<KindId>,
     ends: Vec<u64>,
@@ -849,8 +849,8 @@
         if crowding > CROWDED {
             self.cut_limit(now, place, end.took);
         } else if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            // By one for all balancers together: each of ten growing by one would overshoot by ten. But faster
-            // where nothing was cut yet, or a server that has warmed up would stay idle.
+            // By one for all balancers together: each of ten growing by one would overshoot by ten. But
+            // faster where nothing was cut yet, or a server that has warmed up would stay idle.
             let step = if server.cut { self.terms.each(1.0) } else { self.terms.each(LEAST_LIMIT).min(1.0) };
             server.limit += step / server.limit.max(1.0);
         }
@@ -909,7 +909,7 @@
         }
     }
 
-    /// The first that waits may be too heavy for what is free, a cold server say, and must not hold up the rest.
+    /// The first that waits may be too heavy for what is free, a cold server say: it must not hold up others.
     fn serve_queue(&mut self, now: At) {
         let mut passed = 0;
         while let Some(&next) = self.queue.get(passed).filter(|_| passed < MOST_PASSED) {
