--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,7 +31,7 @@
 /// What all balancers together may always have at a server: less would leave the cores of any server idle.
 const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
-const LIMIT_KEPT: f64 = 0.7;
+const LIMIT_KEPT: f64 = 0.8;
 /// A server whose last answers took so many times what their work explains is crowded.
 const CROWDED: f64 = 1.1;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
