--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
 /// that it is judged by look several times larger than it may be.
-const COLD_MARGIN: f64 = 0.2;
+const COLD_MARGIN: f64 = 0.4;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
@@ -667,7 +667,8 @@
         };
         let sent = server.sent.within(now, self.terms.cold.fall_window);
         let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
-        sent + work <= budget && in_flight < server.limit.max(1.0)
+        // A small hint is often too small, and a swarm of small ops pushes a server over as well as a few large.
+        sent + work.max(self.usual_work()) <= budget && in_flight < server.limit.max(1.0)
     }
 
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
@@ -700,6 +701,7 @@
             return false;
         };
         let patience = self.patience(self.servers[place].group, self.ops[&op].work);
+        let usual_work = self.usual_work();
         let state = self.ops.get_mut(&op).expect("an op that is placed is held");
         state.queued = false;
         state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
@@ -707,7 +709,7 @@
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
-        server.sent.put(now, self.terms.cold.fall_window, state.work);
+        server.sent.put(now, self.terms.cold.fall_window, state.work.max(usual_work));
         self.out += 1;
         self.host.push(op, server.id, None);
         let category = &self.terms.categories[usize::from(state.arrival.category.0)];
