--- a/src/policy.rs
+++ b/src/policy.rs
@@ -660,17 +660,15 @@
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
-        let window = self.terms.cold.fall_window;
-        // A small hint is often too small, and a swarm of small ops pushes a server over as well as a few large.
-        let after = server.sent.within(now, window) + work.max(self.usual_work());
-        let within = |bearable: f64| after <= self.terms.cold.fall_multiple * COLD_MARGIN * bearable;
         let Some(borne) = self.borne[server.group] else {
-            // Nobody to go by: what it answered itself, or one light op, which it finishes as fast as it can.
-            let light = self.usual_work() * share / self.terms.cold.least_share.max(1e-3);
-            let has_room = in_flight < server.limit.max(1.0) && within(server.answered.within(now, window));
-            return has_room || in_flight == 0.0 && work <= light;
+            // Nobody to go by: one op at a time, which a server can only finish as fast as it is able to.
+            return in_flight == 0.0
+                && work <= self.usual_work() * share / self.terms.cold.least_share.max(1e-3);
         };
-        within(share * borne * server.size) && in_flight < server.limit.max(1.0)
+        let sent = server.sent.within(now, self.terms.cold.fall_window);
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
+        // A small hint is often too small: a swarm of small ops pushes a server over as a few large ones do.
+        sent + work.max(self.usual_work()) <= budget && in_flight < server.limit.max(1.0)
     }
 
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
