--- a/src/policy.rs
+++ b/src/policy.rs
@@ -864,7 +864,7 @@
         if now - server.cut_at > took {
             server.cut_at = now;
             let used = server.limit.min(f64::from(server.in_flight.max(1)));
-            server.limit = (used * LIMIT_KEPT).max(self.terms.each(LEAST_LIMIT).min(1.0));
+            server.limit = (used * LIMIT_KEPT).max(self.terms.each(LEAST_LIMIT));
             server.cut = true;
         }
     }
