--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,8 +14,6 @@
 const MOST_PUSHES: usize = 3;
 /// Enough samples for a tenth to be told from a median, few enough to forget a trouble within seconds.
 const FLEET_SAMPLES: usize = 128;
-/// A failure that kept a push this long is risked again only after so many times as long.
-const COSTLY: f64 = 4.0;
 /// So many good answers in a row and earlier failures are forgotten: fewer would forget a server that flaps.
 const FORGETS_AFTER: u32 = 8;
 /// Paces of past rounds of fleet samples: long enough that a jam of half a minute does not pass for usual.
@@ -614,7 +612,7 @@
         // A trial costs one push; to be without a server that is well again costs more, above all when many
         // failed at once.
         let longest = self.terms.categories.iter().map(|category| category.target_latency).max();
-        let longest = longest.unwrap_or(wait).max(took.times(COSTLY));
+        let longest = longest.unwrap_or(wait);
         let server = &mut self.servers[place];
         // What was out when it was set aside fails together: one failure, not a relapse for each.
         if server.to_prove > 0 && now < server.trial_from {
