--- a/src/policy.rs
+++ b/src/policy.rs
@@ -746,19 +746,8 @@
         if state.queued {
             return self.give_up(now, op);
         }
-        if self.may_push_again(now, op) {
-            if self.terms.second_copies {
-                self.place(now, op);
-            }
-            return;
-        }
-        // Guards against ops that wait out their TTL at a silent server: under overload nothing more is pushed for
-        // them, but their client may come again at once if they are nacked.
-        let state = &self.ops[&op];
-        let repeats = self.terms.categories[usize::from(state.arrival.category.0)].repeats;
-        let is_lost = state.pushes.iter().all(|push| self.is_silent(now, &self.servers[push.server]));
-        if repeats == Repeats::Redeliverable && is_lost {
-            self.give_up(now, op);
+        if self.may_push_again(now, op) && self.terms.second_copies {
+            self.place(now, op);
         }
     }
 
