--- a/src/policy.rs
+++ b/src/policy.rs
@@ -888,8 +888,7 @@
         self.crowded_at = Some(now);
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
-        // Twice its own time is left for it: an answer past its target is worth little and costs as much.
-        state.due = At(state.target.0.saturating_sub(Span::from_secs(2.0 * pace * state.work).0));
+        state.due = At(state.target.0.saturating_sub(Span::from_secs(pace * state.work).0));
         // Nothing out means that no room will come free: a quick nack beats a wait for one.
         if state.due <= now || self.out == 0 {
             return self.give_up(now, op);
