--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,8 +16,8 @@
 const FLEET_SAMPLES: usize = 128;
 /// So many good answers in a row and earlier failures are forgotten: fewer would forget a server that flaps.
 const FORGETS_AFTER: u32 = 8;
-/// Paces of past rounds of fleet samples: long enough that a jam of half a minute does not pass for usual.
-const FLOORS: usize = 32;
+/// Paces of past rounds of fleet samples: long enough that a jam of a minute does not pass for usual.
+const FLOORS: usize = 128;
 /// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
 const HINTS: usize = 256;
 /// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
