--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,7 +29,7 @@
 /// So many that wait are passed over for a lighter one: enough to find one, few enough for the CPU.
 const MOST_PASSED: usize = 8;
 /// What all balancers together may always have at a server: less would leave the cores of any server idle.
-const LEAST_LIMIT: f64 = 4.0;
+const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
 /// A server whose last answers took so many times what their work explains is crowded.
