--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -540,3 +540,149 @@
     "#]]
     .assert_eq(world.trace().split_once("-- a second").expect("the note").1);
 }
+
+#[test]
+fn a_list_that_repeats_drops_and_resurrects_a_server_is_followed() {
+    let mut world = World::new(terms(), &one_kind(&[1, 1, 2]));
+    world.op(1, READ, 1, 0.1);
+    let first = world.last_pushed();
+    world.note("-- its server is dropped, its push still ends; then it is back as it was");
+    world.balancer.list_changed(world.now, &[with(Condition::Gone, server(first, 0))]);
+    world.op(2, READ, 1, 0.1).after_ms(100).end(1, 0, first, Ending::Acked);
+    world.balancer.list_changed(world.now, &[server(first, 0), server(first, 0)]);
+    world.op(3, READ, 1, 0.1);
+    world.note("-- a server never heard of is gone; a kind never heard of belongs to default");
+    world.balancer.list_changed(world.now, &[with(Condition::Gone, server(9, 0))]);
+    world.balancer.list_given(world.now, &[server(8, 7)]);
+    world.op(4, READ, 1, 0.1);
+    check(&world, expect![[r#"
+          watch the list
+        op 1 of category 0 comes
+          push op 1 to 2
+        -- its server is dropped, its push still ends; then it is back as it was
+        op 2 of category 0 comes
+          push op 2 to 1
+        push 0 of op 1 ends at 2: Acked
+        op 3 of category 0 comes
+          push op 3 to 2
+        -- a server never heard of is gone; a kind never heard of belongs to default
+        op 4 of category 0 comes
+          push op 4 to 8
+    "#]]);
+}
+
+#[test]
+fn a_server_that_flaps_is_trusted_less_each_time() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20);
+    for round in 0..4 {
+        let op = 10 * round;
+        world.after_ms(2000).op(op, READ, 1, 0.1);
+        let failing = world.last_pushed();
+        world.after_ms(1).end(op, 0, failing, Ending::Error);
+        let other = world.last_pushed();
+        world.after_ms(100).end(op, 1, other, Ending::Acked);
+    }
+    check(&world, expect![[r#"
+        op 0 of category 0 comes
+          push op 0 to 2
+        push 0 of op 0 ends at 2: Error
+          log: upstream 2 set aside for 162 ms: an error
+          push op 0 to 1
+        push 1 of op 0 ends at 1: Acked
+        op 10 of category 0 comes
+          push op 10 to 2
+        push 0 of op 10 ends at 2: Error
+          log: upstream 2 set aside for 304 ms: an error
+          push op 10 to 1
+        push 1 of op 10 ends at 1: Acked
+        op 20 of category 0 comes
+          push op 20 to 2
+        push 0 of op 20 ends at 2: Error
+          log: upstream 2 set aside for 481 ms: an error
+          push op 20 to 1
+        push 1 of op 20 ends at 1: Acked
+        op 30 of category 0 comes
+          push op 30 to 2
+        push 0 of op 30 ends at 2: Error
+          log: upstream 2 set aside for 625 ms: an error
+          push op 30 to 1
+        push 1 of op 30 ends at 1: Acked
+    "#]]);
+}
+
+#[test]
+fn a_handful_of_hot_keys_spreads_when_their_servers_are_full() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2, 3, 4]));
+    world.warm_up(20);
+    for op in 0..12 {
+        world.op(op, READ, 1, 0.1);
+    }
+    check(&world, expect![[r#"
+        op 0 of category 0 comes
+          push op 0 to 2
+        op 1 of category 0 comes
+          push op 1 to 3
+        op 2 of category 0 comes
+          push op 2 to 2
+        op 3 of category 0 comes
+          push op 3 to 3
+        op 4 of category 0 comes
+          push op 4 to 2
+        op 5 of category 0 comes
+          push op 5 to 3
+        op 6 of category 0 comes
+          push op 6 to 2
+        op 7 of category 0 comes
+          push op 7 to 3
+        op 8 of category 0 comes
+          push op 8 to 2
+        op 9 of category 0 comes
+          push op 9 to 4
+        op 10 of category 0 comes
+          push op 10 to 4
+        op 11 of category 0 comes
+          push op 11 to 4
+    "#]]);
+}
+
+#[test]
+fn alarms_no_longer_needed_and_streams_are_left_alone() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(20).op(1, READ, 1, 0.1);
+    world.balancer.stream_started(world.now, OpId(1));
+    world.after_ms(900).ring(1).ring(77);
+    let upstream = world.last_pushed();
+    world.end(1, 0, upstream, Ending::Acked).ring(1);
+    check(&world, expect![[r#"
+        op 1 of category 0 comes
+          push op 1 to 2
+        the alarm of op 1 rings
+        the alarm of op 77 rings
+        push 0 of op 1 ends at 2: Acked
+        the alarm of op 1 rings
+    "#]]);
+}
+
+#[test]
+fn a_redeliverable_op_gets_two_further_pushes_and_no_more() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2, 3, 4, 5]));
+    world.warm_up(20).op(1, READ, 1, 0.1);
+    for push in 0..3 {
+        let upstream = world.last_pushed();
+        world.after_ms(1).end(1, push, upstream, Ending::Error);
+    }
+    check(&world, expect![[r#"
+        op 1 of category 0 comes
+          push op 1 to 2
+        push 0 of op 1 ends at 2: Error
+          log: upstream 2 set aside for 162 ms: an error
+          push op 1 to 3
+        push 1 of op 1 ends at 3: Error
+          log: upstream 3 set aside for 225 ms: an error
+          push op 1 to 5
+        push 2 of op 1 ends at 5: Error
+          log: upstream 5 set aside for 152 ms: an error
+          nack op 1
+    "#]]);
+}
