--- a/src/policy.rs
+++ b/src/policy.rs
@@ -93,8 +93,7 @@
     /// Good answers that it still has to give on trial; none are owed by a trusted server.
     to_prove: u32,
     trial_from: At,
-    /// Turned away as full this often in a row, and left alone until then.
-    fulls: u32,
+    /// Left alone until then, to keep a limit under one as a share of the time.
     rests_until: At,
     relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
@@ -298,7 +297,6 @@
                 owed_work: 0.0,
                 to_prove: 0,
                 trial_from: now,
-                fulls: 0,
                 rests_until: now,
                 relapses: 0,
                 sent: Work::default(),
@@ -798,11 +796,6 @@
             Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
             Ending::Full => {
                 self.cut_limit(now, place, end.took);
-                // A full server answers at once and so looks idle: without a rest it would draw op after op.
-                let usual = self.median();
-                let server = &mut self.servers[place];
-                server.rests_until = now + usual.times(f64::from(1u32 << server.fulls.min(5)));
-                server.fulls += 1;
             }
             Ending::ConnectFailed | Ending::Reset => {
                 // It may be starting anew, which the list will tell only seconds later.
@@ -838,7 +831,6 @@
         if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
-        server.fulls = 0;
         if server.to_prove > 0 {
             server.to_prove -= 1;
             if server.to_prove == 0 {
