Stop taking a failed connection for a restart

Removed: trials already bring a server back one op at a time, and the list tells of a start within seconds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -798,12 +798,7 @@
                 self.cut_limit(now, place, end.took);
             }
             Ending::ConnectFailed | Ending::Reset => {
-                // It may be starting anew, which the list will tell only seconds later.
-                let server = &mut self.servers[place];
-                server.cold_from = Some(now);
-                server.limit = self.terms.each(LEAST_LIMIT).min(1.0);
-                server.cut = false;
-                self.set_aside(now, place, Span::ZERO, "its connection failed");
+                self.set_aside(now, place, Span::ZERO, "its connection failed")
             }
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -297,12 +297,15 @@
     world.warm_up(20).op(1, ORDER, 1, 0.1);
     let full = world.last_pushed();
     world.after_ms(1).end(1, 0, full, Ending::Full);
-    check(&world, expect![[r#"
+    check(
+        &world,
+        expect![[r#"
         op 1 of category 2 comes
           push op 1 to 2
         push 0 of op 1 ends at 2: Full
           push op 1 to 1
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
