--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used: kept keys and shared limits make the warm servers
 /// that it is judged by look several times larger than it may be.
-const COLD_MARGIN: f64 = 1.0;
+const COLD_MARGIN: f64 = 0.8;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
