--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,15 +32,15 @@
 const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
 const LIMIT_KEPT: f64 = 0.8;
-/// A server whose last answers took so many times what their work explains is crowded. Well under two: servers
-/// that hold many ops do less work, and another group or the queue has a better use for the op.
+/// A server whose last answers took so many times what their work explains is crowded. Well under two: one
+/// that holds many ops does less work, and another group or the queue has a better use for the op.
 const CROWDED: f64 = 1.1;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 8.0;
-/// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and one
-/// server that falls over costs more than some that idle for seconds.
+/// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
+/// one server that falls over costs more than some that idle for seconds.
 const COLD_MARGIN: f64 = 0.8;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
