--- a/src/policy.rs
+++ b/src/policy.rs
@@ -890,9 +890,9 @@
         };
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
-        // Twice, since rests and cold servers keep back some of the room that comes free: a quick nack is better
-        // than a wait that ends in one, and shorter queues leave fewer answers late.
-        let turn = 2.0 * self.median().secs() / f64::from(self.out);
+        // Four times, since rests and cold servers keep back some of the room that comes free. A quick nack is
+        // better than a wait that ends in one, and shorter queues leave fewer answers late.
+        let turn = 4.0 * self.median().secs() / f64::from(self.out);
         while let Some(&last) = self.queue.last() {
             if now + Span::from_secs(turn * self.queue.len() as f64) <= self.ops[&last].due {
                 break;
