--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,9 +28,9 @@
 const ILL_MULTIPLE: f64 = 3.0;
 /// So many that wait are passed over for a lighter one: enough to find one, few enough for the CPU.
 const MOST_PASSED: usize = 8;
-/// So many medians are reckoned for each turn of those that wait. Rests and cold servers keep back much of the
-/// room that comes free, a quick nack beats a wait that ends in one, and short queues keep answers in time.
-const SHORT_QUEUE: f64 = 8.0;
+/// So many medians are reckoned for each turn of those that wait. Rests and cold servers keep back much of
+/// the room that comes free, a quick nack beats a wait that ends in one, and short queues keep ops in time.
+const SHORT_QUEUE: f64 = 4.0;
 /// What all balancers together may always have at a server: less would leave the cores of any server idle.
 const LEAST_LIMIT: f64 = 5.0;
 /// What is left of a limit after a cut: a larger cut leaves servers idle, a smaller one lets a jam stand.
