--- a/src/policy.rs
+++ b/src/policy.rs
@@ -509,10 +509,6 @@
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_well = server.to_prove == 0 && now >= server.rests_until && !self.is_silent(now, server);
-        // What may never run twice is lost at a server that turns out silent: it asks for a fresher answer.
-        let category = &self.terms.categories[usize::from(op.arrival.category.0)];
-        let is_fresh = server.owes_since.is_none_or(|since| now - since <= self.median().times(2.0));
-        let is_well = is_well && (is_fresh || category.repeats != Repeats::AtMostOnce);
         is_well && self.may_get(now, op, place)
     }
 
