--- a/crates/drill/src/session.rs
+++ b/crates/drill/src/session.rs
@@ -16,7 +16,6 @@
 use crate::wire::{Fault, Reader, Reply};
 
 const BATCH_HEADER: usize = 20;
-const LIST_ENTRY: usize = 23;
 const ROSTERS: u32 = 16;
 const HINT_VALID: u8 = 1;
 
@@ -36,9 +35,9 @@
 }
 
 impl Host for WireHost {
-    fn push(&mut self, op: OpId, upstream: UpstreamId, try_for: Option<Span>) {
-        let try_for = try_for.map_or(0.0, Span::secs);
-        self.record(16, &[&op.0.to_be_bytes(), &upstream.0.to_be_bytes(), &try_for.to_be_bytes()]);
+    fn push(&mut self, op: OpId, upstream: UpstreamId) {
+        let until_the_client_gives_up = 0f64.to_be_bytes();
+        self.record(16, &[&op.0.to_be_bytes(), &upstream.0.to_be_bytes(), &until_the_client_gives_up]);
     }
 
     fn nack(&mut self, op: OpId, stay_away: Option<Span>) {
@@ -55,7 +54,7 @@
     }
 
     fn alarm(&mut self, at: At, alarm: AlarmId) {
-        self.record(20, &[&(at.0 as f64 / 1e4).to_be_bytes(), &alarm.0.to_be_bytes()]);
+        self.record(20, &[&at.secs().to_be_bytes(), &alarm.0.to_be_bytes()]);
     }
 
     fn watch_list(&mut self) {
@@ -115,17 +114,13 @@
     Ok(true)
 }
 
-fn at(secs: f64) -> At {
-    At((secs * 1e4).round() as i64)
-}
-
 impl Session {
     fn batch(&mut self, frame: &[u8]) -> Result<u32, Fault> {
         let mut head = Reader::new(frame, 0, 0);
         let batch = head.u32("the number of the batch")?;
         let mut reader = Reader::new(frame, 8, batch);
         let records = reader.u32("the number of records")?;
-        let now = at(reader.f64("clock")?);
+        let now = At::from_secs(reader.f64("clock")?);
         for _ in 0..records {
             self.record(&mut reader, now)?;
         }
@@ -234,13 +229,8 @@
         if number >= ROSTERS {
             return Err(reader.fault(&format!("a list number under {ROSTERS} before here, not {number}")));
         }
-        let count = reader.u32("the length of a list")? as usize;
-        let bytes = count.checked_mul(LIST_ENTRY).ok_or_else(|| reader.fault("a length that fits"))?;
-        let start = reader.fault("");
-        let rows = reader.take(bytes, "list entries")?;
-        let rows = rows.chunks_exact(LIST_ENTRY).map(|row| listing(&mut Reader::new(row, 0, 0)));
-        let rows =
-            rows.collect::<Result<_, _>>().map_err(|fault| format!("{start} (in an entry: {fault})"))?;
+        let count = reader.u32("the length of a list")?;
+        let rows = (0..count).map(|_| listing(reader)).collect::<Result<_, _>>()?;
         self.rosters[number as usize] = Some(rows);
         Ok(())
     }
@@ -309,7 +299,7 @@
 fn listing(reader: &mut Reader) -> Result<Listing, Fault> {
     let kind = KindId(reader.u16("a kind")?);
     let upstream = UpstreamId(reader.u32("an upstream")?);
-    let size = f64::from(reader.f32("size")?);
+    let size = reader.f32("size")?;
     let condition = match reader.u8("a condition")? {
         3 => Condition::Ready,
         1 => Condition::Draining,
@@ -319,6 +309,6 @@
     let zone = ZoneId(reader.u16("a zone")?);
     let up_since = reader.f64("start time")?;
     let cell = CellId(reader.u16("a cell")?);
-    let up_since = (up_since != 0.0).then(|| at(up_since));
+    let up_since = (up_since != 0.0).then(|| At::from_secs(up_since));
     Ok(Listing { upstream, kind, zone, cell, size, condition, up_since })
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -53,13 +53,17 @@
         self.array(what).map(u64::from_be_bytes)
     }
 
-    pub fn f32(&mut self, what: &str) -> Result<f32, Fault> {
+    pub fn f32(&mut self, what: &str) -> Result<f64, Fault> {
         let value = f32::from_be_bytes(self.array(what)?);
-        if value.is_finite() { Ok(value) } else { Err(self.fault(&format!("a finite {what}"))) }
+        self.finite(value.into(), what)
     }
 
     pub fn f64(&mut self, what: &str) -> Result<f64, Fault> {
         let value = f64::from_be_bytes(self.array(what)?);
+        self.finite(value, what)
+    }
+
+    fn finite(&self, value: f64, what: &str) -> Result<f64, Fault> {
         if value.is_finite() { Ok(value) } else { Err(self.fault(&format!("a finite {what}"))) }
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -6,8 +6,8 @@
 
 /// The balancer's hands: one method for each thing that it can do.
 pub trait Host {
-    /// `try_for` of none: until the client gives up.
-    fn push(&mut self, op: OpId, upstream: UpstreamId, try_for: Option<Span>);
+    /// The push may take until the client gives up.
+    fn push(&mut self, op: OpId, upstream: UpstreamId);
     fn cancel(&mut self, op: OpId, push: PushNo);
     fn nack(&mut self, op: OpId, stay_away: Option<Span>);
     fn dead_letter(&mut self, op: OpId);
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -44,6 +44,16 @@
     }
 }
 
+impl At {
+    pub fn from_secs(secs: f64) -> At {
+        At(Span::from_secs(secs).0)
+    }
+
+    pub fn secs(self) -> f64 {
+        Span(self.0).secs()
+    }
+}
+
 impl Add<Span> for At {
     type Output = At;
 
@@ -52,6 +62,14 @@
     }
 }
 
+impl Sub<Span> for At {
+    type Output = At;
+
+    fn sub(self, span: Span) -> At {
+        At(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Sub<At> for At {
     type Output = Span;
 
@@ -67,11 +85,3 @@
         Span(self.0.saturating_add(other.0))
     }
 }
-
-impl Sub for Span {
-    type Output = Span;
-
-    fn sub(self, other: Span) -> Span {
-        Span(self.0.saturating_sub(other.0))
-    }
-}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,7 @@
 use crate::ids::{AlarmId, At, CategoryId, CellId, KindId, OpId, PushNo, Span, TenantId, UpstreamId, ZoneId};
 use crate::rng::Pcg;
 use crate::samples::{Ring, Work};
-use crate::terms::{DedupGroup, Repeats, StartTerms};
+use crate::terms::{Category, DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
 const MOST_PUSHES: usize = 3;
@@ -81,9 +81,8 @@
     cell: CellId,
     size: f64,
     ready: bool,
+    /// When it last started; its warming is counted from here. None: long ago.
     up_since: Option<At>,
-    /// When it last started, or may have: its warming is counted from here.
-    cold_from: Option<At>,
     in_flight: u32,
     limit: f64,
     cut_at: At,
@@ -222,14 +221,14 @@
             places: BTreeMap::new(),
             ops: BTreeMap::new(),
             queue: Vec::new(),
-            fleet: Ring::new(),
-            floors: Ring::new(),
+            fleet: Ring::default(),
+            floors: Ring::default(),
             answers: 0,
             figures: None,
             borne: Vec::new(),
             borne_at: None,
             full_at: None,
-            hints: Ring::new(),
+            hints: Ring::default(),
             hints_seen: 0,
             tip_bound: 0.0,
             in_share,
@@ -273,8 +272,7 @@
     }
 
     fn note_listing(&mut self, now: At, row: &Listing) {
-        let started = row.up_since.filter(|&up| now - up < self.terms.cold.warm_within);
-        let first_limit = self.terms.each(FIRST_LIMIT);
+        let is_cold = row.up_since.is_some_and(|up| now - up < self.terms.cold.warm_within);
         let cold_limit = self.terms.each(LEAST_LIMIT).min(1.0);
         let Some(&place) = self.places.get(&row.upstream) else {
             if row.condition == Condition::Gone {
@@ -290,13 +288,12 @@
                 size: row.size,
                 ready: row.condition == Condition::Ready,
                 up_since: row.up_since,
-                cold_from: started,
                 in_flight: 0,
-                limit: if started.is_some() { cold_limit } else { first_limit },
+                limit: if is_cold { cold_limit } else { self.terms.each(FIRST_LIMIT) },
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
-                recent: Ring::new(),
+                recent: Ring::default(),
                 owes_since: None,
                 owed_work: 0.0,
                 to_prove: 0,
@@ -313,8 +310,9 @@
         server.size = row.size;
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
-            server.cold_from = started.max(server.cold_from);
-            server.limit = if started.is_some() { cold_limit } else { server.limit };
+            if is_cold {
+                server.limit = cold_limit;
+            }
             server.cut = false;
             // A new process answers for itself, not for the failures of the old one.
             (server.trial_from, server.relapses) = (now, 0);
@@ -333,7 +331,7 @@
     // Ops.
 
     pub fn op_arrived(&mut self, now: At, arrival: OpArrival) {
-        let category = &self.terms.categories[usize::from(arrival.category.0)];
+        let category = self.terms.category(arrival.category);
         // An absurd hint must not swamp the sums of work: nothing so large is ever answered in time.
         let work = arrival.hint.unwrap_or_else(|| self.usual_work()).min(100.0 * category.ttl.secs());
         let target = category.target_latency + Span::from_secs(work * category.target_stretch);
@@ -514,19 +512,19 @@
 
     /// A server that failed is tried with the ops that lose least if it fails again.
     fn may_try_out(&self, op: &Op) -> bool {
-        let risk = |category: &crate::terms::Category| match category.repeats {
+        let risk = |category: &Category| match category.repeats {
             Repeats::Redeliverable => 0,
             Repeats::Deduplicated { .. } => 1,
             Repeats::AtMostOnce => 2,
         };
-        let own = risk(&self.terms.categories[usize::from(op.arrival.category.0)]);
+        let own = risk(self.terms.category(op.arrival.category));
         self.terms.categories.iter().all(|category| own <= risk(category))
     }
 
     /// Guards against doing an effect twice: what may have run is repeated only where repeats are dropped,
     /// and only as long.
     fn may_repeat_on(&self, now: At, op: &Op, server: &Server) -> bool {
-        let repeats = self.terms.categories[usize::from(op.arrival.category.0)].repeats;
+        let repeats = self.terms.category(op.arrival.category).repeats;
         op.pushes.iter().filter(|push| push.out || push.may_have_run).all(|push| match repeats {
             Repeats::Redeliverable => true,
             Repeats::AtMostOnce => false,
@@ -570,14 +568,14 @@
         let took =
             |part| Span::from_secs(self.fleet.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
         let (median, most) = (took(0.5), took(0.9));
-        let hints = self.hints.len();
-        let work = if hints == 0 { 1.0 } else { self.hints.iter().sum::<f64>() / hints as f64 };
+        let hinted: f64 = self.hints.iter().sum();
+        let work = if self.hints.is_empty() { 1.0 } else { hinted / self.hints.len() as f64 };
+        // The first answers too: if a jam follows the start, they alone tell of a time without one.
+        let is_round =
+            self.answers == ANSWERS_BETWEEN_FIGURES || self.answers.is_multiple_of(FLEET_SAMPLES / 2);
         let mut paces = Vec::with_capacity(self.table.kinds.len());
         for group in 0..self.table.kinds.len() {
             let median = self.fleet.quantile(0.5, |of| (of.group == group).then_some(of.pace));
-            // The first answers too: if a jam follows the start, they alone tell of a time without one.
-            let is_round =
-                self.answers == ANSWERS_BETWEEN_FIGURES || self.answers.is_multiple_of(FLEET_SAMPLES / 2);
             if let Some(median) = median.filter(|_| is_round) {
                 self.floors.put((group, median));
             }
@@ -649,7 +647,7 @@
 
     fn cold_share(&self, now: At, server: &Server) -> f64 {
         let cold = &self.terms.cold;
-        let Some(since) = server.cold_from else { return 1.0 };
+        let Some(since) = server.up_since else { return 1.0 };
         let warmed = (now - since).secs() / cold.warm_within.secs().max(1e-4);
         (cold.least_share + (1.0 - cold.least_share) * warmed).clamp(0.0, 1.0)
     }
@@ -713,8 +711,8 @@
         server.owed_work = server.owed_work.max(state.work);
         server.sent.put(now, self.terms.cold.fall_window, state.work.max(usual_work));
         self.out += 1;
-        self.host.push(op, server.id, None);
-        let category = &self.terms.categories[usize::from(state.arrival.category.0)];
+        self.host.push(op, server.id);
+        let category = self.terms.category(state.arrival.category);
         if category.repeats != Repeats::AtMostOnce {
             let patience = patience.unwrap_or(category.target_latency.times(0.5));
             state.due = now + patience;
@@ -794,13 +792,10 @@
     }
 
     fn note_ending(&mut self, now: At, place: usize, end: &PushEnd) {
-        let silent = self.is_silent(now, &self.servers[place]);
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
-            Ending::Full => {
-                self.cut_limit(now, place, end.took);
-            }
+            Ending::Full => self.cut_limit(now, place, end.took),
             Ending::ConnectFailed | Ending::Reset => {
                 self.set_aside(now, place, Span::ZERO, "its connection failed")
             }
@@ -808,7 +803,8 @@
                 if end.ending == Ending::TimedOut {
                     self.cut_limit(now, place, end.took);
                 }
-                if silent && self.servers[place].to_prove == 0 && self.can_spare(place) {
+                let server = &self.servers[place];
+                if server.to_prove == 0 && self.is_silent(now, server) && self.can_spare(place) {
                     self.set_aside(now, place, end.took, "no answer");
                 }
             }
@@ -879,7 +875,7 @@
         self.crowded_at = Some(now);
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
-        state.due = At(state.target.0.saturating_sub(Span::from_secs(pace * state.work).0));
+        state.due = state.target - Span::from_secs(pace * state.work);
         // Nothing out means that no room will come free: a quick nack beats a wait for one.
         if state.due <= now || self.out == 0 {
             return self.give_up(now, op);
@@ -917,7 +913,7 @@
     fn give_up(&mut self, now: At, op: OpId) {
         let state = &self.ops[&op];
         let may_have_run = state.pushes.iter().any(|push| push.out || push.may_have_run);
-        let harmless = match self.terms.categories[usize::from(state.arrival.category.0)].repeats {
+        let harmless = match self.terms.category(state.arrival.category).repeats {
             Repeats::Redeliverable | Repeats::Deduplicated { group: DedupGroup::All, .. } => true,
             Repeats::Deduplicated { .. } | Repeats::AtMostOnce => !may_have_run,
         };
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -9,15 +9,11 @@
 
 impl<T: Copy, const N: usize> Default for Ring<T, N> {
     fn default() -> Self {
-        Self::new()
+        Ring(VecDeque::with_capacity(N))
     }
 }
 
 impl<T: Copy, const N: usize> Ring<T, N> {
-    pub fn new() -> Self {
-        Ring(VecDeque::with_capacity(N))
-    }
-
     pub fn put(&mut self, sample: T) {
         if self.0.len() == N {
             self.0.pop_front();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,6 +1,6 @@
 //! What a balancer is told once, at its start.
 
-use crate::ids::Span;
+use crate::ids::{CategoryId, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupGroup {
@@ -52,6 +52,10 @@
 }
 
 impl StartTerms {
+    pub fn category(&self, id: CategoryId) -> &Category {
+        &self.categories[usize::from(id.0)]
+    }
+
     /// One balancer's part of what all of them may do together.
     pub fn each(&self, together: f64) -> f64 {
         together / f64::from(self.balancers.max(1))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,7 +23,7 @@
 }
 
 impl Host for Trace {
-    fn push(&mut self, op: OpId, upstream: UpstreamId, _try_for: Option<Span>) {
+    fn push(&mut self, op: OpId, upstream: UpstreamId) {
         self.line(format_args!("  push op {} to {}", op.0, upstream.0));
     }
     fn cancel(&mut self, op: OpId, push: PushNo) {
@@ -153,12 +153,17 @@
         self
     }
 
+    /// The server that the last push went to answers it, so long after.
+    pub fn answered(&mut self, op: u32, ms: i64) -> &mut Self {
+        let upstream = self.last_pushed();
+        self.after_ms(ms).end_after(op, 0, upstream, Ending::Acked, ms)
+    }
+
     /// Ops answered well by whichever server they went to, so that there is something to judge by.
     pub fn warm_up(&mut self, ops: u32) -> &mut Self {
         for op in 0..ops {
             self.arrive(1_000_000 + op, READ, Some(Key(u64::from(op) + 1)), Some(0.1), 1.5);
-            let upstream = self.last_pushed();
-            self.after_ms(100).end(1_000_000 + op, 0, upstream, Ending::Acked);
+            self.answered(1_000_000 + op, 100);
         }
         self.trace.0.borrow_mut().clear();
         self
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -12,6 +12,11 @@
     kept.assert_eq(&world.trace());
 }
 
+/// Only what comes after this beginning of a note.
+fn check_after(world: &World, note: &str, kept: Expect) {
+    kept.assert_eq(world.trace().split_once(note).expect("the note").1);
+}
+
 /// Kind 0 has four servers (default), kind 1 three (tip), kinds 2 and 3 one each (ranges).
 fn four_kinds() -> Vec<Listing> {
     let kinds = [(10, 0), (11, 0), (12, 0), (13, 0), (20, 1), (21, 1), (22, 1), (30, 2), (40, 3)];
@@ -31,9 +36,7 @@
     let mut world = World::new(terms(), &four_kinds());
     for op in 0..64 {
         let hint = if op % 2 == 0 { 0.02 } else { 0.2 };
-        world.op(op, READ, 5, hint);
-        let upstream = world.last_pushed();
-        world.after_ms(100).end(op, 0, upstream, Ending::Acked);
+        world.op(op, READ, 5, hint).answered(op, 100);
     }
     world.note("-- small: tip; then by slot; keyless: default");
     world.op(100, READ, 1, 0.02).op(101, READ, 1, 0.2).op(102, READ, 2, 0.2).op(103, READ, 3, 0.2);
@@ -49,9 +52,10 @@
         world.balancer.list_changed(world.now, &[row]);
     }
     world.op(107, READ, 1, 0.02);
-    let trace = world.trace();
-    let shown = trace.split_once("-- small").expect("the note").1;
-    expect![[r#"
+    check_after(
+        &world,
+        "-- small",
+        expect![[r#"
         : tip; then by slot; keyless: default
         op 100 of category 0 comes
           push op 100 to 21
@@ -70,8 +74,8 @@
           push op 106 to 13
         op 107 of category 0 comes
           push op 107 to 40
-    "#]]
-    .assert_eq(shown);
+    "#]],
+    );
 }
 
 #[test]
@@ -168,8 +172,7 @@
     world.note("-- of what is answered at once, however small, the cold server 2 gets little");
     for op in 0..400 {
         world.op(op, READ, u64::from(op) + 1, if op % 5 == 0 { 0.1 } else { 0.002 });
-        let upstream = world.last_pushed();
-        world.after_ms(10).end_after(op, 0, upstream, Ending::Acked, 10);
+        world.answered(op, 10);
     }
     let trace = world.trace();
     let count = |server: &str| trace.lines().filter(|line| line.ends_with(server)).count();
@@ -366,14 +369,17 @@
     }
     world.note("-- by its own group's pace it would be late");
     world.op(1000, ORDER, 1, 0.1).op(1001, ORDER, 1, 0.4);
-    expect![[r#"
+    check_after(
+        &world,
+        "-- by",
+        expect![[r#"
          its own group's pace it would be late
         op 1000 of category 2 comes
           push op 1000 to 11
         op 1001 of category 2 comes
           push op 1001 to 21
-    "#]]
-    .assert_eq(world.trace().split_once("-- by").expect("the note").1);
+    "#]],
+    );
 }
 
 #[test]
@@ -408,10 +414,12 @@
         world.op(op, READ, 1, 0.1).after_ms(500).end_after(op, 0, 1, Ending::Acked, 500).after_ms(2000);
     }
     world.note("-- the server rests before the next");
-    world.op(20, ORDER, 1, 0.1).after_ms(500).end_after(20, 0, 1, Ending::Acked, 500).op(21, ORDER, 1, 0.1);
+    world.op(20, ORDER, 1, 0.1).answered(20, 500).op(21, ORDER, 1, 0.1);
     world.after_ms(2000).op(22, ORDER, 1, 0.1);
-    let trace = world.trace();
-    expect![[r#"
+    check_after(
+        &world,
+        "-- the server",
+        expect![[r#"
          rests before the next
         op 20 of category 2 comes
           push op 20 to 1
@@ -420,8 +428,8 @@
           nack op 21, say when to come back
         op 22 of category 2 comes
           push op 22 to 1
-    "#]]
-    .assert_eq(trace.split_once("-- the server").expect("the note").1);
+    "#]],
+    );
 }
 
 #[test]
@@ -430,8 +438,7 @@
     let started: Vec<Listing> =
         one_kind(&[1, 2, 3, 4, 5, 6]).into_iter().map(|row| Listing { up_since: Some(now), ..row }).collect();
     let mut world = World::new(terms(), &started);
-    let first = world.op(1, READ, 1, 0.1).last_pushed();
-    world.after_ms(100).end(1, 0, first, Ending::Acked);
+    world.op(1, READ, 1, 0.1).answered(1, 100);
     world.op(2, READ, 1, 0.1).op(3, READ, 1, 0.1).op(4, READ, 1, 0.1).op(5, READ, 1, 0.1);
     world.note("-- too heavy for any cold server: it waits, and a lighter one goes past it");
     world.op(6, ORDER, 1, 0.2).op(7, READ, 2, 0.1);
@@ -463,11 +470,14 @@
     let mut world = World::new(terms(), &one_kind(&[1]));
     for op in 0..80 {
         let ms = if op % 2 == 0 { 50 } else { 100 };
-        world.op(op, READ, 1, 0.1).after_ms(ms).end_after(op, 0, 1, Ending::Acked, ms);
+        world.op(op, READ, 1, 0.1).answered(op, ms);
     }
     world.note("-- a burst still finds room");
     world.op(100, READ, 1, 0.1).op(101, READ, 1, 0.1).op(102, READ, 1, 0.1).op(103, READ, 1, 0.1);
-    expect![[r#"
+    check_after(
+        &world,
+        "-- a burst",
+        expect![[r#"
          still finds room
         op 100 of category 0 comes
           push op 100 to 1
@@ -477,8 +487,8 @@
           push op 102 to 1
         op 103 of category 0 comes
           push op 103 to 1
-    "#]]
-    .assert_eq(world.trace().split_once("-- a burst").expect("the note").1);
+    "#]],
+    );
 }
 
 #[test]
@@ -515,7 +525,10 @@
     }
     world.note("-- a second later the share is open again; one answer makes room for one");
     world.after_ms(450).op(50, READ, 1, 0.1).after_ms(10).end(0, 0, 1, Ending::Acked);
-    expect![[r#"
+    check_after(
+        &world,
+        "-- a second",
+        expect![[r#"
          later the share is open again; one answer makes room for one
         op 50 of category 0 comes
           nack op 17, say when to come back
@@ -530,8 +543,8 @@
           nack op 8, say when to come back
         push 0 of op 0 ends at 1: Acked
           push op 50 to 1
-    "#]]
-    .assert_eq(world.trace().split_once("-- a second").expect("the note").1);
+    "#]],
+    );
 }
 
 #[test]
