--- a/src/policy.rs
+++ b/src/policy.rs
@@ -758,7 +758,6 @@
         self.out = self.out.saturating_sub(1);
         self.full_at = None;
         self.note_ending(now, place, &end);
-        let median = self.median();
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         let answered = !matches!(end.ending, Ending::Cancelled | Ending::TimedOut | Ending::NeverSent);
@@ -769,9 +768,8 @@
         if server.in_flight == 0 {
             if server.limit < 1.0 {
                 // Guards against many balancers that jam a server between them with one push each: a limit
-                // under one is kept as a share of the time. By a usual time at least: a full server says so at
-                // once, and would be asked again at once by each of them.
-                let rest = end.took.max(median).times(1.0 / server.limit - 1.0);
+                // under one is kept as a share of the time.
+                let rest = end.took.times(1.0 / server.limit - 1.0);
                 server.rests_until = server.rests_until.max(now + rest);
             }
             server.owes_since = None;
