Lend a group's latest answers to a server with few of its own

Cause: with hundreds of balancers one has an answer of a server every ten seconds, so its limit never moves. What a server's last eight answers lack is lent by its group, cuts and growth reach its fellows by the part that was lent, and a rest lasts a usual time at least.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,10 +51,13 @@
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
 struct Sample {
+    server: usize,
     group: usize,
     took: Span,
     /// Seconds taken for each second of hinted work.
     pace: f64,
+    /// Seconds that its work explains.
+    explained: f64,
 }
 
 /// What the last samples say, of all servers and of each group.
@@ -88,8 +91,6 @@
     cut_at: At,
     cut: bool,
     good_in_a_row: u32,
-    /// What the last answers took, and what their work explains, in seconds.
-    recent: Ring<(f64, f64), SERVER_SAMPLES>,
     /// Since when it owes an answer and has given none, and the largest work it got in that time.
     owes_since: Option<At>,
     owed_work: f64,
@@ -293,7 +294,6 @@
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
-                recent: Ring::default(),
                 owes_since: None,
                 owed_work: 0.0,
                 to_prove: 0,
@@ -758,6 +758,7 @@
         self.out = self.out.saturating_sub(1);
         self.full_at = None;
         self.note_ending(now, place, &end);
+        let median = self.median();
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         let answered = !matches!(end.ending, Ending::Cancelled | Ending::TimedOut | Ending::NeverSent);
@@ -768,8 +769,9 @@
         if server.in_flight == 0 {
             if server.limit < 1.0 {
                 // Guards against many balancers that jam a server between them with one push each: a limit
-                // under one is kept as a share of the time.
-                let rest = end.took.times(1.0 / server.limit - 1.0);
+                // under one is kept as a share of the time. By a usual time at least: a full server says so at
+                // once, and would be asked again at once by each of them.
+                let rest = end.took.max(median).times(1.0 / server.limit - 1.0);
                 server.rests_until = server.rests_until.max(now + rest);
             }
             server.owes_since = None;
@@ -819,7 +821,7 @@
         let (group, work) = (self.servers[place].group, state.work);
         let pace = end.took.secs() / work;
         let explained = work * self.paces(group).map_or(pace, |paces| paces.unhindered);
-        self.note_sample(Sample { group, took: end.took, pace });
+        self.note_sample(Sample { server: place, group, took: end.took, pace, explained });
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.fall_window, work);
@@ -832,27 +834,72 @@
                 self.doubted.retain(|&doubted| doubted != place);
             }
         }
-        server.recent.put((end.took.secs(), explained));
-        let sums = server.recent.iter().fold((0.0, 0.0), |sums, of| (sums.0 + of.0, sums.1 + of.1));
-        let crowding = sums.0 / sums.1;
-        if crowding > CROWDED {
+        if self.is_overdriven(place) {
             self.cut_limit(now, place, end.took);
-        } else if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            // By one for all balancers together: each of ten growing by one would overshoot by ten. But
-            // faster where nothing was cut yet, or a server that has warmed up would stay idle.
-            let step = if server.cut { self.terms.each(1.0) } else { self.terms.each(LEAST_LIMIT).min(1.0) };
-            server.limit += step / server.limit.max(1.0);
+        } else {
+            self.grow_limit(place);
+        }
+    }
+
+    /// The last answers of a server; newest first.
+    fn own_samples(&self, place: usize) -> impl Iterator<Item = &Sample> {
+        self.fleet.iter().rev().filter(move |of| of.server == place).take(SERVER_SAMPLES)
+    }
+
+    /// How much of the evidence of a server has to be lent by its group.
+    fn lent(&self, place: usize) -> f64 {
+        1.0 - self.own_samples(place).count() as f64 / SERVER_SAMPLES as f64
+    }
+
+    /// Guards against knowing nothing where each of many balancers has an answer of a server only now and
+    /// then: what a server's own last answers lack, the latest of its group lend.
+    fn is_overdriven(&self, place: usize) -> bool {
+        let group = self.servers[place].group;
+        let lacking = SERVER_SAMPLES - self.own_samples(place).count();
+        let fellows = self.fleet.iter().rev().filter(|of| of.group == group && of.server != place);
+        let samples = self.own_samples(place).chain(fellows.take(lacking));
+        let sums = samples.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
+        sums.0 > CROWDED * sums.1
+    }
+
+    fn grow_limit(&mut self, place: usize) {
+        let lent = self.lent(place);
+        let (once, each) = (self.terms.each(LEAST_LIMIT).min(1.0), self.terms.each(1.0));
+        let group = self.servers[place].group;
+        // By one for all balancers together: each of ten growing by one would overshoot by ten. But
+        // faster where nothing was cut yet, or a server that has warmed up would stay idle.
+        let step = |server: &Server| if server.cut { each } else { once };
+        let server = &mut self.servers[place];
+        if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
+            server.limit += (1.0 - lent) * step(server) / server.limit.max(1.0);
+        }
+        let fellows = self.members[group].len() as f64;
+        for &(_, fellow) in &self.members[group] {
+            let server = &mut self.servers[fellow];
+            // What is lent is little: it must not outgrow the cuts.
+            let most = server.limit * (1.0 - LIMIT_KEPT) / 4.0;
+            server.limit += lent * (step(server) / server.limit / fellows).min(most);
         }
     }
 
     /// One cut for all that was pushed before it: what was out already says nothing of the smaller limit.
     fn cut_limit(&mut self, now: At, place: usize, took: Span) {
+        let (lent, least) = (self.lent(place), self.terms.each(LEAST_LIMIT));
         let server = &mut self.servers[place];
-        if now - server.cut_at > took {
-            server.cut_at = now;
-            let used = server.limit.min(f64::from(server.in_flight.max(1)));
-            server.limit = (used * LIMIT_KEPT).max(self.terms.each(LEAST_LIMIT));
-            server.cut = true;
+        if now - server.cut_at <= took {
+            return;
+        }
+        server.limit = server.limit.min(f64::from(server.in_flight.max(1)));
+        let group = server.group;
+        for fellow in 0..self.servers.len() {
+            let is_hit = fellow == place
+                || self.servers[fellow].group == group && lent > 0.0 && self.rng.unit() < lent;
+            let server = &mut self.servers[fellow];
+            if is_hit && now - server.cut_at > took {
+                server.cut_at = now;
+                server.limit = (server.limit * LIMIT_KEPT).max(least);
+                server.cut = true;
+            }
         }
     }
 
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -21,7 +21,7 @@
         self.0.push_back(sample);
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = &T> {
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &T> {
         self.0.iter()
     }
 
