Let an op wait for the end of a rest

Cause: with hundreds of balancers one has little out, and room comes when a rest ends, which is no event; an op was nacked where the next server was free within a moment.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -740,6 +740,13 @@
         }
         let op = OpId(alarm.0 as u32);
         let Some(state) = self.ops.get(&op) else { return };
+        if state.queued && now < state.due {
+            self.serve_queue(now);
+            if self.ops.get(&op).is_some_and(|state| state.queued) {
+                self.wait(now, op);
+            }
+            return;
+        }
         if now < state.due || state.streaming {
             return;
         }
@@ -923,12 +930,14 @@
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
         state.due = state.target - Span::from_secs(pace * state.work);
-        // Nothing out means that no room will come free: a quick nack beats a wait for one.
-        if state.due <= now || self.out == 0 {
+        let due = state.due;
+        // Nothing out and no rest over by then: no room will come free, and a quick nack beats a wait for it.
+        if due <= now || self.out == 0 && self.rested_by(now, due) == 0 {
             return self.give_up(now, op);
         }
+        self.wait(now, op);
+        let state = self.ops.get_mut(&op).expect("an op that waits is held");
         state.queued = true;
-        self.host.alarm(state.due, AlarmId(u64::from(op.0)));
         let (benefit, target) = (state.benefit, state.target);
         let ahead = |other: &OpId| {
             let other = &self.ops[other];
@@ -936,15 +945,34 @@
         };
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
-        let turn = SHORT_QUEUE * self.median().secs() / f64::from(self.out);
+        let turn = SHORT_QUEUE * self.median().secs() / f64::from(self.out.max(1));
         while let Some(&last) = self.queue.last() {
-            if now + Span::from_secs(turn * self.queue.len() as f64) <= self.ops[&last].due {
+            let due = self.ops[&last].due;
+            let turns = self.queue.len().saturating_sub(self.rested_by(now, due));
+            if now + Span::from_secs(turn * turns as f64) <= due {
                 break;
             }
             self.give_up(now, last);
         }
     }
 
+    fn rests(&self, now: At) -> impl Iterator<Item = At> {
+        let resting = self.servers.iter().filter(move |of| of.ready && of.to_prove == 0 && of.rests_until > now);
+        resting.map(|server| server.rests_until)
+    }
+
+    fn rested_by(&self, now: At, due: At) -> usize {
+        self.rests(now).filter(|&until| until < due).count()
+    }
+
+    /// Room comes with an answer, or without any when a rest ends: guards against an op that waits for an
+    /// answer while one of many balancers has nothing out.
+    fn wait(&mut self, now: At, op: OpId) {
+        let due = self.ops[&op].due;
+        let next = self.rests(now).min().map_or(due, |until| until.min(due));
+        self.host.alarm(next, AlarmId(u64::from(op.0)));
+    }
+
     /// The first that waits may be too heavy for what is free, a cold server say: it must not hold up others.
     fn serve_queue(&mut self, now: At) {
         let mut passed = 0;
