Reckon rests anew from the usual time and start each at its own

Cause: a rest was set from the time of the last push, so after a jam hundreds of balancers rested for minutes beside idle servers, and after a full server's quick word not at all; and all balancers pushed to every server in the first moment. A rest now counts from when the last push there ended, is reckoned from what is usual now, and starts at a time of its own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -97,8 +97,8 @@
     /// Good answers that it still has to give on trial; none are owed by a trusted server.
     to_prove: u32,
     trial_from: At,
-    /// Left alone until then, to keep a limit under one as a share of the time.
-    rests_until: At,
+    /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
+    free_since: At,
     relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
     sent: Work,
@@ -280,10 +280,14 @@
                 return;
             }
             self.places.insert(row.upstream, self.servers.len());
+            // A kind that the table has not heard of belongs to default.
+            let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
+            // Guards against many balancers that start at once: each joins in at a time of its own.
+            let rest = self.usual_time(group).times(1.0 / self.terms.each(FIRST_LIMIT));
+            let free_since = now - rest.times(self.rng.unit());
             self.servers.push(Server {
                 id: row.upstream,
-                // A kind that the table has not heard of belongs to default.
-                group: self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT),
+                group,
                 zone: row.zone,
                 cell: row.cell,
                 size: row.size,
@@ -298,7 +302,7 @@
                 owed_work: 0.0,
                 to_prove: 0,
                 trial_from: now,
-                rests_until: now,
+                free_since,
                 relapses: 0,
                 sent: Work::default(),
                 answered: Work::default(),
@@ -506,7 +510,7 @@
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        let is_well = server.to_prove == 0 && now >= server.rests_until && !self.is_silent(now, server);
+        let is_well = server.to_prove == 0 && now >= self.rests_until(server) && !self.is_silent(now, server);
         is_well && self.may_get(now, op, place)
     }
 
@@ -671,6 +675,20 @@
         sent + work.max(self.usual_work()) <= budget && in_flight < server.limit.max(1.0)
     }
 
+    /// Guards against many balancers that jam a server between them with one push each: a limit under one is
+    /// kept as a share of the time. Reckoned anew from what is usual now: a rest after a long answer in a jam
+    /// would outlast the jam by minutes, and one after a full server's quick word would be none.
+    fn rests_until(&self, server: &Server) -> At {
+        server.free_since + self.usual_time(server.group).times((1.0 / server.limit - 1.0).max(0.0))
+    }
+
+    /// Answers that are to be in time take a part of the target: what to go by before the first of them.
+    fn usual_time(&self, group: usize) -> Span {
+        let least = self.terms.categories.iter().map(|category| category.target_latency).min();
+        let guess = least.unwrap_or(Span::ZERO).times(0.25);
+        self.paces(group).map_or(guess, |paces| Span::from_secs(paces.median * self.usual_work()))
+    }
+
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
     /// the weaker ones: a server may be slower than its kind, or share a limit with its neighbours.
     fn reckon_borne(&mut self, now: At) {
@@ -765,7 +783,6 @@
         self.out = self.out.saturating_sub(1);
         self.full_at = None;
         self.note_ending(now, place, &end);
-        let median = self.median();
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         let answered = !matches!(end.ending, Ending::Cancelled | Ending::TimedOut | Ending::NeverSent);
@@ -774,13 +791,7 @@
             self.answered_at = Some(now);
         }
         if server.in_flight == 0 {
-            if server.limit < 1.0 {
-                // Guards against many balancers that jam a server between them with one push each: a limit
-                // under one is kept as a share of the time. By a usual time at least: a full server says so at
-                // once, and would be asked again at once by each of them.
-                let rest = end.took.max(median).times(1.0 / server.limit - 1.0);
-                server.rests_until = server.rests_until.max(now + rest);
-            }
+            server.free_since = now;
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
@@ -957,8 +968,8 @@
     }
 
     fn rests(&self, now: At) -> impl Iterator<Item = At> {
-        let resting = self.servers.iter().filter(move |of| of.ready && of.to_prove == 0 && of.rests_until > now);
-        resting.map(|server| server.rests_until)
+        let well = self.servers.iter().filter(|server| server.ready && server.to_prove == 0);
+        well.map(|server| self.rests_until(server)).filter(move |&until| until > now)
     }
 
     fn rested_by(&self, now: At, due: At) -> usize {
