Close connections that have been idle for a second

Cause: hundreds of balancers that each keep a connection to every server exceed what a server accepts, and 80% of pushes find none. What is left there: full servers, busiest at 10 times the mean.

--- a/crates/drill/src/session.rs
+++ b/crates/drill/src/session.rs
@@ -57,6 +57,10 @@
         self.record(20, &[&at.secs().to_be_bytes(), &alarm.0.to_be_bytes()]);
     }
 
+    fn close_idle(&mut self, upstream: UpstreamId) {
+        self.record(22, &[&upstream.0.to_be_bytes()]);
+    }
+
     fn watch_list(&mut self) {
         self.record(26, &[&[1]]);
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -12,6 +12,7 @@
     fn nack(&mut self, op: OpId, stay_away: Option<Span>);
     fn dead_letter(&mut self, op: OpId);
     fn alarm(&mut self, at: At, alarm: AlarmId);
+    fn close_idle(&mut self, upstream: UpstreamId);
     fn watch_list(&mut self);
     fn log(&mut self, line: &str);
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,6 +47,7 @@
 const COLD_MARGIN: f64 = 0.8;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
+const CLOSE_IDLE: u64 = 1 << 33;
 
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
@@ -756,6 +757,15 @@
         if alarm == ASK_LIST {
             return self.host.watch_list();
         }
+        if alarm.0 & CLOSE_IDLE != 0 {
+            let upstream = UpstreamId(alarm.0 as u32);
+            let Some(&place) = self.places.get(&upstream) else { return };
+            let server = &self.servers[place];
+            if server.in_flight == 0 && now - server.free_since >= Span::from_secs(1.0) {
+                self.host.close_idle(upstream);
+            }
+            return;
+        }
         let op = OpId(alarm.0 as u32);
         let Some(state) = self.ops.get(&op) else { return };
         if state.queued && now < state.due {
@@ -792,6 +802,7 @@
         }
         if server.in_flight == 0 {
             server.free_since = now;
+            self.host.alarm(now + Span::from_secs(1.0), AlarmId(CLOSE_IDLE | u64::from(server.id.0)));
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,9 @@
         self.line(format_args!("  dead-letter op {}", op.0));
     }
     fn alarm(&mut self, _at: At, _alarm: AlarmId) {}
+    fn close_idle(&mut self, upstream: UpstreamId) {
+        self.line(format_args!("  close idle connections to {}", upstream.0));
+    }
     fn watch_list(&mut self) {
         self.line(format_args!("  watch the list"));
     }
