--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,6 +100,8 @@
     trial_from: At,
     /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
     free_since: At,
+    /// Its last push came soon after its rest: its limit is what kept more away.
+    is_used: bool,
     relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
     sent: Work,
@@ -304,6 +306,7 @@
                 to_prove: 0,
                 trial_from: now,
                 free_since,
+                is_used: false,
                 relapses: 0,
                 sent: Work::default(),
                 answered: Work::default(),
@@ -721,10 +724,14 @@
         };
         let patience = self.patience(self.servers[place].group, self.ops[&op].work);
         let usual_work = self.usual_work();
+        let server = &self.servers[place];
+        let rest = self.rests_until(server) - server.free_since;
+        let is_used = server.in_flight > 0 || now - server.free_since <= rest.times(2.0);
         let state = self.ops.get_mut(&op).expect("an op that is placed is held");
         state.queued = false;
         state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
         let server = &mut self.servers[place];
+        server.is_used = is_used;
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
@@ -899,9 +906,15 @@
         // faster where nothing was cut yet, or a server that has warmed up would stay idle.
         let step = |server: &Server| if server.cut { each } else { once };
         let server = &mut self.servers[place];
-        if f64::from(server.in_flight) + 1.0 >= server.limit / 2.0 {
-            server.limit += (1.0 - lent) * step(server) / server.limit.max(1.0);
+        let is_used = if server.limit < 1.0 {
+            server.is_used
+        } else {
+            f64::from(server.in_flight) + 1.0 >= server.limit / 2.0
+        };
+        if !is_used {
+            return;
         }
+        server.limit += (1.0 - lent) * step(server) / server.limit.max(1.0);
         let fellows = self.members[group].len() as f64;
         for &(_, fellow) in &self.members[group] {
             let server = &mut self.servers[fellow];
