--- a/src/policy.rs
+++ b/src/policy.rs
@@ -508,7 +508,9 @@
 
     fn may_try(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        let is_due = now >= server.trial_from && server.in_flight == 0 && op.pushes.is_empty();
+        // Guards against hundreds of balancers whose trials alone keep a server ill: trials rest as well.
+        let from = server.trial_from.max(self.rests_until(server));
+        let is_due = now >= from && server.in_flight == 0 && op.pushes.is_empty();
         is_due && self.may_try_out(op) && self.may_get(now, op, place)
     }
 
@@ -632,7 +634,8 @@
         if server.to_prove == 0 {
             self.doubted.push(place);
         }
-        server.to_prove = 1 + server.relapses.min(4);
+        // Where trials are few and far between, one that is answered has to do.
+        server.to_prove = 1 + (f64::from(server.relapses.min(4)) * server.limit.min(1.0)) as u32;
         server.trial_from = now + wait;
         server.good_in_a_row = 0;
         let line = format!("upstream {} set aside for {} ms: {why}", server.id.0, wait.0 / 10);
