Let each balancer use a bounded, even subset of each group

Cause: with hundreds of balancers one meets a server every 17 s and can tell a jammed one from none. Each group's servers lie on a ring by a mix of their ids; a balancer walks it from a start of its own (ordinal times the golden section) and uses the first trusted ones, at least two, so many that 32 balancers share a server; limits are counted among those that share it. Few balancers use all.

--- a/crates/drill/src/facts.rs
+++ b/crates/drill/src/facts.rs
@@ -79,6 +79,7 @@
             .map(|place| facts.number(&format!("projects.{place}.quota_per_s")))
             .collect::<Result<_, _>>()?,
         balancers: facts.value("n_instances")?,
+        ordinal: facts.value("ordinal")?,
         overage_benefit: if tenants > 0 { facts.number("overage_benefit")? } else { 1.0 },
         max_pushes: facts.value("limits.max_pushes")?,
         second_copies: facts.value("limits.second_copies")?,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,9 @@
 const CROWDED: f64 = 1.1;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
+/// So many balancers share a server at the least: enough that each sees what it needs to judge, few enough
+/// that each has a push there every other second.
+const LEAST_SHARERS: f64 = 32.0;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
@@ -88,6 +91,7 @@
     /// When it last started; its warming is counted from here. None: long ago.
     up_since: Option<At>,
     in_flight: u32,
+    /// For all balancers together; each keeps to its part.
     limit: f64,
     cut_at: At,
     cut: bool,
@@ -145,7 +149,7 @@
     rng: Pcg,
     table: Table,
     servers: Vec<Server>,
-    /// The ready servers of each group and, last, of all groups: id and place.
+    /// The ready servers of each group, id and place, in ring order from this balancer's own start.
     members: Vec<Vec<(u64, usize)>>,
     doubted: Vec<usize>,
     places: BTreeMap<UpstreamId, usize>,
@@ -265,19 +269,43 @@
         for row in rows {
             self.note_listing(now, row);
         }
-        let groups = self.table.kinds.len();
-        self.members = vec![Vec::new(); groups + 1];
+        self.members = vec![Vec::new(); self.table.kinds.len()];
         for (place, server) in self.servers.iter().enumerate().filter(|(_, server)| server.ready) {
             self.members[server.group].push((u64::from(server.id.0), place));
-            self.members[groups].push((u64::from(server.id.0), place));
+        }
+        for members in &mut self.members {
+            members.sort_by_key(|&(id, _)| mix(id));
+            // Starts a golden section apart lie evenly on the ring, whatever run of balancers is looked at.
+            let start = u64::from(self.terms.ordinal).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let start = (u128::from(start) * members.len() as u128) >> 64;
+            members.rotate_left(start as usize);
         }
         (self.borne_at, self.full_at) = (None, None);
         self.serve_queue(now);
     }
 
+    /// How many of the group's servers this balancer uses: guards against hundreds of balancers that each meet
+    /// each server too seldom to learn of it, and hold more connections to it than it takes.
+    fn subset(&self, group: usize) -> usize {
+        let members = self.members.get(group).map_or(0, Vec::len);
+        let part = LEAST_SHARERS / f64::from(self.terms.balancers.max(1));
+        members.min(((members as f64 * part).ceil() as usize).max(2))
+    }
+
+    /// How many balancers use each server of the group.
+    fn sharers(&self, group: usize) -> f64 {
+        let members = self.members.get(group).map_or(0, Vec::len).max(1);
+        f64::from(self.terms.balancers.max(1)) * self.subset(group).max(1) as f64 / members as f64
+    }
+
+    /// The servers of the group that this balancer uses: when one is doubted, the next on the ring steps in.
+    fn own(&self, group: usize) -> impl Iterator<Item = (u64, usize)> {
+        let members = self.members.get(group).into_iter().flatten().copied();
+        members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group))
+    }
+
     fn note_listing(&mut self, now: At, row: &Listing) {
         let is_cold = row.up_since.is_some_and(|up| now - up < self.terms.cold.warm_within);
-        let cold_limit = self.terms.each(LEAST_LIMIT).min(1.0);
         let Some(&place) = self.places.get(&row.upstream) else {
             if row.condition == Condition::Gone {
                 return;
@@ -286,7 +314,7 @@
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
             // Guards against many balancers that start at once: each joins in at a time of its own.
-            let rest = self.usual_time(group).times(1.0 / self.terms.each(FIRST_LIMIT));
+            let rest = self.usual_time(group).times(self.sharers(group) / FIRST_LIMIT);
             let free_since = now - rest.times(self.rng.unit());
             self.servers.push(Server {
                 id: row.upstream,
@@ -297,7 +325,7 @@
                 ready: row.condition == Condition::Ready,
                 up_since: row.up_since,
                 in_flight: 0,
-                limit: if is_cold { cold_limit } else { self.terms.each(FIRST_LIMIT) },
+                limit: if is_cold { LEAST_LIMIT } else { FIRST_LIMIT },
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
@@ -319,7 +347,7 @@
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
             if is_cold {
-                server.limit = cold_limit;
+                server.limit = LEAST_LIMIT;
             }
             server.cut = false;
             // A new process answers for itself, not for the failures of the old one.
@@ -460,11 +488,11 @@
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing.
         let doubted = |&(_, place): &(u64, usize)| self.servers[place].to_prove > 0;
         let found = found.or_else(|| {
-            let ready = self.members.get(all)?;
-            if !ready.iter().all(doubted) {
+            let ready = self.members.iter().flatten();
+            if !ready.clone().all(doubted) {
                 return None;
             }
-            let open = ready.iter().filter(|(_, place)| self.may_get(now, op, *place));
+            let open = ready.filter(|(_, place)| self.may_get(now, op, *place));
             let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
             least.map(|&(_, place)| place)
         });
@@ -477,7 +505,6 @@
     /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so
     /// that it meets servers that know it; chance draws for an op without a key.
     fn draw(&self, now: At, op: &Op, salt: u64, group: usize) -> Option<usize> {
-        let members = self.members.get(group)?;
         let is_tried = |place: &&usize| {
             let server = &self.servers[**place];
             let is_member = server.ready && (server.group == group || group == self.table.kinds.len());
@@ -488,7 +515,8 @@
         }
         let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
-        for &(id, place) in members {
+        let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
+        for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
             if drawn <= best[1] || !self.may_take(now, op, place) {
                 continue;
@@ -623,6 +651,7 @@
         // failed at once.
         let longest = self.terms.categories.iter().map(|category| category.target_latency).max();
         let longest = longest.unwrap_or(wait);
+        let part = self.part(&self.servers[place]);
         let server = &mut self.servers[place];
         // What was out when it was set aside fails together: one failure, not a relapse for each.
         if server.to_prove > 0 && now < server.trial_from {
@@ -635,7 +664,7 @@
             self.doubted.push(place);
         }
         // Where trials are few and far between, one that is answered has to do.
-        server.to_prove = 1 + (f64::from(server.relapses.min(4)) * server.limit.min(1.0)) as u32;
+        server.to_prove = 1 + (f64::from(server.relapses.min(4)) * part.min(1.0)) as u32;
         server.trial_from = now + wait;
         server.good_in_a_row = 0;
         let line = format!("upstream {} set aside for {} ms: {why}", server.id.0, wait.0 / 10);
@@ -667,7 +696,7 @@
         let share = self.cold_share(now, server);
         let in_flight = f64::from(server.in_flight);
         if share >= 1.0 {
-            return in_flight < server.limit.max(1.0);
+            return in_flight < self.part(server).max(1.0);
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
@@ -679,14 +708,18 @@
         let sent = server.sent.within(now, self.terms.cold.fall_window);
         let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         // A small hint is often too small: a swarm of small ops pushes a server over as a few large ones do.
-        sent + work.max(self.usual_work()) <= budget && in_flight < server.limit.max(1.0)
+        sent + work.max(self.usual_work()) <= budget && in_flight < self.part(server).max(1.0)
     }
 
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
     /// kept as a share of the time. Reckoned anew from what is usual now: a rest after a long answer in a jam
     /// would outlast the jam by minutes, and one after a full server's quick word would be none.
     fn rests_until(&self, server: &Server) -> At {
-        server.free_since + self.usual_time(server.group).times((1.0 / server.limit - 1.0).max(0.0))
+        server.free_since + self.usual_time(server.group).times((1.0 / self.part(server) - 1.0).max(0.0))
+    }
+
+    fn part(&self, server: &Server) -> f64 {
+        server.limit / self.sharers(server.group)
     }
 
     /// Answers that are to be in time take a part of the target: what to go by before the first of them.
@@ -705,7 +738,8 @@
         }
         self.borne_at = Some(now);
         let mut borne: Vec<Vec<f64>> = vec![Vec::new(); self.table.kinds.len()];
-        for server in self.servers.iter().filter(|server| server.ready && server.to_prove == 0) {
+        for (_, place) in (0..self.members.len()).flat_map(|group| self.own(group)) {
+            let server = &self.servers[place];
             if self.cold_share(now, server) >= 1.0 {
                 borne[server.group].push(server.answered.within(now, window) / server.size);
             }
@@ -903,38 +937,36 @@
 
     fn grow_limit(&mut self, place: usize) {
         let lent = self.lent(place);
-        let (once, each) = (self.terms.each(LEAST_LIMIT).min(1.0), self.terms.each(1.0));
         let group = self.servers[place].group;
+        let (sharers, own) = (self.sharers(group), self.subset(group).max(1) as f64);
         // By one for all balancers together: each of ten growing by one would overshoot by ten. But
         // faster where nothing was cut yet, or a server that has warmed up would stay idle.
-        let step = |server: &Server| if server.cut { each } else { once };
+        let step = |server: &Server| if server.cut { 1.0 } else { LEAST_LIMIT.min(sharers) };
         let server = &mut self.servers[place];
-        let is_used = if server.limit < 1.0 {
-            server.is_used
-        } else {
-            f64::from(server.in_flight) + 1.0 >= server.limit / 2.0
-        };
+        let part = server.limit / sharers;
+        let is_used =
+            if part < 1.0 { server.is_used } else { f64::from(server.in_flight) + 1.0 >= part / 2.0 };
         if !is_used {
             return;
         }
-        server.limit += (1.0 - lent) * step(server) / server.limit.max(1.0);
-        let fellows = self.members[group].len() as f64;
+        server.limit += (1.0 - lent) * step(server) / part.max(1.0);
         for &(_, fellow) in &self.members[group] {
             let server = &mut self.servers[fellow];
             // What is lent is little: it must not outgrow the cuts.
             let most = server.limit * (1.0 - LIMIT_KEPT) / 4.0;
-            server.limit += lent * (step(server) / server.limit / fellows).min(most);
+            server.limit += lent * (step(server) * sharers / server.limit / own).min(most);
         }
     }
 
     /// One cut for all that was pushed before it: what was out already says nothing of the smaller limit.
     fn cut_limit(&mut self, now: At, place: usize, took: Span) {
-        let (lent, least) = (self.lent(place), self.terms.each(LEAST_LIMIT));
+        let lent = self.lent(place);
+        let sharers = self.sharers(self.servers[place].group);
         let server = &mut self.servers[place];
         if now - server.cut_at <= took {
             return;
         }
-        server.limit = server.limit.min(f64::from(server.in_flight.max(1)));
+        server.limit = server.limit.min(f64::from(server.in_flight.max(1)) * sharers);
         let group = server.group;
         for fellow in 0..self.servers.len() {
             let is_hit = fellow == place
@@ -942,7 +974,7 @@
             let server = &mut self.servers[fellow];
             if is_hit && now - server.cut_at > took {
                 server.cut_at = now;
-                server.limit = (server.limit * LIMIT_KEPT).max(least);
+                server.limit = (server.limit * LIMIT_KEPT).max(LEAST_LIMIT);
                 server.cut = true;
             }
         }
@@ -995,8 +1027,8 @@
     }
 
     fn rests(&self, now: At) -> impl Iterator<Item = At> {
-        let well = self.servers.iter().filter(|server| server.ready && server.to_prove == 0);
-        well.map(|server| self.rests_until(server)).filter(move |&until| until > now)
+        let own = (0..self.members.len()).flat_map(|group| self.own(group));
+        own.map(|(_, place)| self.rests_until(&self.servers[place])).filter(move |&until| until > now)
     }
 
     fn rested_by(&self, now: At, due: At) -> usize {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -40,6 +40,8 @@
     /// Ops a second of each tenant, through all balancers, that carry full benefit.
     pub tenant_shares: Vec<f64>,
     pub balancers: u32,
+    /// The place of this one among them, from 0.
+    pub ordinal: u32,
     pub overage_benefit: f64,
     pub max_pushes: u16,
     pub second_copies: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -65,6 +65,7 @@
         ],
         tenant_shares: Vec::new(),
         balancers: 2,
+        ordinal: 0,
         overage_benefit: 0.1,
         max_pushes: 4,
         second_copies: true,
