--- a/src/policy.rs
+++ b/src/policy.rs
@@ -402,7 +402,7 @@
         };
         let most = self.terms.each(*share).ceil() as usize;
         let counted = &mut self.in_share[usize::from(tenant.0)];
-        while counted.front().is_some_and(|&at| now - at > Span::from_secs(1.0)) {
+        while counted.front().is_some_and(|&at| now - at > Span::from_secs(100.0)) {
             counted.pop_front();
         }
         let within = counted.len() < most;
@@ -590,7 +590,7 @@
 
     /// As long as most answers take; before the first a guess that errs on the patient side.
     fn most(&self) -> Span {
-        self.figures.as_ref().map_or(Span::from_secs(1.0), |figures| figures.most)
+        self.figures.as_ref().map_or(Span::from_secs(100.0), |figures| figures.most)
     }
 
     fn usual_work(&self) -> f64 {
@@ -805,7 +805,7 @@
             let upstream = UpstreamId(alarm.0 as u32);
             let Some(&place) = self.places.get(&upstream) else { return };
             let server = &self.servers[place];
-            if server.in_flight == 0 && now - server.free_since >= Span::from_secs(1.0) {
+            if server.in_flight == 0 && now - server.free_since >= Span::from_secs(100.0) {
                 self.host.close_idle(upstream);
             }
             return;
@@ -846,7 +846,7 @@
         }
         if server.in_flight == 0 {
             server.free_since = now;
-            self.host.alarm(now + Span::from_secs(1.0), AlarmId(CLOSE_IDLE | u64::from(server.id.0)));
+            self.host.alarm(now + Span::from_secs(100.0), AlarmId(CLOSE_IDLE | u64::from(server.id.0)));
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
