Close the connections to servers that stepped in once they are not needed

Cause: in trouble a balancer walks on along the ring, and what it opened there stayed open for a minute.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,7 +50,6 @@
 const COLD_MARGIN: f64 = 0.8;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
-const CLOSE_IDLE: u64 = 1 << 33;
 
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
@@ -93,6 +92,8 @@
     in_flight: u32,
     /// For all balancers together; each keeps to its part.
     limit: f64,
+    /// Something was pushed to it since its connections were closed.
+    is_open: bool,
     cut_at: At,
     cut: bool,
     good_in_a_row: u32,
@@ -304,6 +305,19 @@
         members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group))
     }
 
+    /// Guards against filling servers' tables of connections: one that stepped in is left when it is not needed.
+    fn close_unused(&mut self, group: usize) {
+        let mut used = self.subset(group);
+        for &(_, place) in &self.members[group] {
+            let server = &mut self.servers[place];
+            if used == 0 && server.is_open && server.in_flight == 0 {
+                server.is_open = false;
+                self.host.close_idle(server.id);
+            }
+            used -= usize::from(used > 0 && server.to_prove == 0);
+        }
+    }
+
     fn note_listing(&mut self, now: At, row: &Listing) {
         let is_cold = row.up_since.is_some_and(|up| now - up < self.terms.cold.warm_within);
         let Some(&place) = self.places.get(&row.upstream) else {
@@ -326,6 +340,7 @@
                 up_since: row.up_since,
                 in_flight: 0,
                 limit: if is_cold { LEAST_LIMIT } else { FIRST_LIMIT },
+                is_open: false,
                 cut_at: now,
                 cut: false,
                 good_in_a_row: 0,
@@ -768,7 +783,7 @@
         state.queued = false;
         state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
         let server = &mut self.servers[place];
-        server.is_used = is_used;
+        (server.is_used, server.is_open) = (is_used, true);
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
@@ -801,15 +816,6 @@
         if alarm == ASK_LIST {
             return self.host.watch_list();
         }
-        if alarm.0 & CLOSE_IDLE != 0 {
-            let upstream = UpstreamId(alarm.0 as u32);
-            let Some(&place) = self.places.get(&upstream) else { return };
-            let server = &self.servers[place];
-            if server.in_flight == 0 && now - server.free_since >= Span::from_secs(100.0) {
-                self.host.close_idle(upstream);
-            }
-            return;
-        }
         let op = OpId(alarm.0 as u32);
         let Some(state) = self.ops.get(&op) else { return };
         if state.queued && now < state.due {
@@ -846,12 +852,13 @@
         }
         if server.in_flight == 0 {
             server.free_since = now;
-            self.host.alarm(now + Span::from_secs(100.0), AlarmId(CLOSE_IDLE | u64::from(server.id.0)));
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
             server.owes_since = Some(now);
         }
+        let group = server.group;
+        self.close_unused(group);
         if let Some(state) = self.ops.get_mut(&end.op) {
             if let Some(push) = state.pushes.get_mut(usize::from(end.push.0)) {
                 push.out = false;
