--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,6 +74,8 @@
 
 #[derive(Clone, Copy)]
 struct Paces {
+    /// What an answer takes on the whole, long ones and all.
+    mean: Span,
     median: f64,
     /// The pace when nothing holds the group up. In a jam the latest samples all tell of waiting, so that the
     /// waiting would pass for the servers' own slowness.
@@ -620,7 +622,7 @@
         }
         let took =
             |part| Span::from_secs(self.fleet.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
-        let (median, most) = (took(0.5), took(0.9));
+        let (median_took, most) = (took(0.5), took(0.9));
         let hinted: f64 = self.hints.iter().sum();
         let work = if self.hints.is_empty() { 1.0 } else { hinted / self.hints.len() as f64 };
         // The first answers too: if a jam follows the start, they alone tell of a time without one.
@@ -634,11 +636,14 @@
             }
             let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
             let unhindered = floors.min_by(f64::total_cmp).or(median);
+            let took = self.fleet.iter().filter(|of| of.group == group).map(|of| of.took.secs());
+            let (count, sum) = took.fold((0.0, 0.0), |(count, sum), took| (count + 1.0, sum + took));
+            let mean = Span::from_secs(if count > 0.0 { sum / count } else { median_took.secs() });
             paces.push(
-                unhindered.map(|unhindered| Paces { median: median.unwrap_or(unhindered), unhindered }),
+                unhindered.map(|unhindered| Paces { mean, median: median.unwrap_or(unhindered), unhindered }),
             );
         }
-        self.figures = Some(Figures { median, most, work, paces });
+        self.figures = Some(Figures { median: median_took, most, work, paces });
     }
 
     /// How long an op of this work may stay unanswered in this group before that means something.
@@ -741,7 +746,7 @@
     fn usual_time(&self, group: usize) -> Span {
         let least = self.terms.categories.iter().map(|category| category.target_latency).min();
         let guess = least.unwrap_or(Span::ZERO).times(0.25);
-        self.paces(group).map_or(guess, |paces| Span::from_secs(paces.median * self.usual_work()))
+        self.paces(group).map_or(guess, |paces| paces.mean)
     }
 
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
