--- a/src/policy.rs
+++ b/src/policy.rs
@@ -888,6 +888,7 @@
             }
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
+                    self.sample(place, end);
                     self.cut_limit(now, place, end.took);
                 }
                 let server = &self.servers[place];
@@ -899,14 +900,18 @@
         }
     }
 
-    fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
-        let Some(state) = self.ops.get(&end.op) else {
-            return;
-        };
-        let (group, work) = (self.servers[place].group, state.work);
+    /// What took until the end counts as well: guards against a jam that looks like quick answers, since only
+    /// the quick ones come back.
+    fn sample(&mut self, place: usize, end: &PushEnd) -> Option<f64> {
+        let (group, work) = (self.servers[place].group, self.ops.get(&end.op)?.work);
         let pace = end.took.secs() / work;
         let explained = work * self.paces(group).map_or(pace, |paces| paces.unhindered);
         self.note_sample(Sample { server: place, group, took: end.took, pace, explained });
+        Some(work)
+    }
+
+    fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
+        let Some(work) = self.sample(place, end) else { return };
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.fall_window, work);
