Use so few servers that a part of a least limit is a whole push

Cause: with 32 balancers to a server each has a part of a push and rests three quarters of the time. Five is the least limit itself, so no further constant is needed.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,9 +40,6 @@
 const CROWDED: f64 = 1.1;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
-/// So many balancers share a server at the least: enough that each sees what it needs to judge, few enough
-/// that each has a push there every other second.
-const LEAST_SHARERS: f64 = 32.0;
 /// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
 const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
@@ -291,7 +288,7 @@
     /// each server too seldom to learn of it, and hold more connections to it than it takes.
     fn subset(&self, group: usize) -> usize {
         let members = self.members.get(group).map_or(0, Vec::len);
-        let part = LEAST_SHARERS / f64::from(self.terms.balancers.max(1));
+        let part = LEAST_LIMIT / f64::from(self.terms.balancers.max(1));
         members.min(((members as f64 * part).ceil() as usize).max(2))
     }
 
