Forget samples older than the longest TTL; count a share over eight ops

Where balancers are many the last 128 samples reach back half a minute, so rests go by times from before a trouble: samples older than the longest TTL are dropped and figures reckoned a median apart.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,7 @@
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
 struct Sample {
+    at: At,
     server: usize,
     group: usize,
     took: Span,
@@ -161,6 +162,7 @@
     floors: Ring<(usize, f64), FLOORS>,
     answers: usize,
     figures: Option<Figures>,
+    reckoned_at: At,
     /// What the weaker warm servers of each group bear for each unit of size, and when that was reckoned.
     borne: Vec<Option<f64>>,
     borne_at: Option<At>,
@@ -233,6 +235,7 @@
             floors: Ring::default(),
             answers: 0,
             figures: None,
+            reckoned_at: At(0),
             borne: Vec::new(),
             borne_at: None,
             full_at: None,
@@ -414,12 +417,15 @@
         let Some(share) = self.terms.tenant_shares.get(usize::from(tenant.0)) else {
             return true;
         };
-        let most = self.terms.each(*share).ceil() as usize;
+        // Rounded up for each second, the parts of hundreds of balancers would come to several shares.
+        let each = self.terms.each(*share);
+        let most = each.ceil().max(SERVER_SAMPLES as f64);
+        let window = Span::from_secs(most / each.max(1e-6));
         let counted = &mut self.in_share[usize::from(tenant.0)];
-        while counted.front().is_some_and(|&at| now - at > Span::from_secs(100.0)) {
+        while counted.front().is_some_and(|&at| now - at > window) {
             counted.pop_front();
         }
-        let within = counted.len() < most;
+        let within = (counted.len() as f64) < most;
         if within {
             counted.push_back(now);
         }
@@ -604,7 +610,7 @@
 
     /// As long as most answers take; before the first a guess that errs on the patient side.
     fn most(&self) -> Span {
-        self.figures.as_ref().map_or(Span::from_secs(100.0), |figures| figures.most)
+        self.figures.as_ref().map_or(Span::from_secs(1.0), |figures| figures.most)
     }
 
     fn usual_work(&self) -> f64 {
@@ -612,11 +618,23 @@
     }
 
     fn note_sample(&mut self, sample: Sample) {
+        let now = sample.at;
         self.fleet.put(sample);
         self.answers += 1;
-        if self.answers > ANSWERS_BETWEEN_FIGURES && !self.answers.is_multiple_of(ANSWERS_BETWEEN_FIGURES) {
+        // Guards against going by what was usual before a trouble: where balancers are many the last samples
+        // reach back half a minute, but no op that is still held is older than the longest TTL.
+        let oldest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
+        while self.fleet.len() > SERVER_SAMPLES && self.fleet.oldest().is_some_and(|of| now - of.at > oldest)
+        {
+            self.fleet.drop_oldest();
+        }
+        if self.answers > ANSWERS_BETWEEN_FIGURES
+            && !self.answers.is_multiple_of(ANSWERS_BETWEEN_FIGURES)
+            && now - self.reckoned_at < self.median()
+        {
             return;
         }
+        self.reckoned_at = now;
         let took =
             |part| Span::from_secs(self.fleet.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
         let (median_took, most) = (took(0.5), took(0.9));
@@ -636,9 +654,11 @@
             let took = self.fleet.iter().filter(|of| of.group == group).map(|of| of.took.secs());
             let (count, sum) = took.fold((0.0, 0.0), |(count, sum), took| (count + 1.0, sum + took));
             let mean = Span::from_secs(if count > 0.0 { sum / count } else { median_took.secs() });
-            paces.push(
-                unhindered.map(|unhindered| Paces { mean, median: median.unwrap_or(unhindered), unhindered }),
-            );
+            paces.push(unhindered.map(|unhindered| Paces {
+                mean,
+                median: median.unwrap_or(unhindered),
+                unhindered,
+            }));
         }
         self.figures = Some(Figures { median: median_took, most, work, paces });
     }
@@ -885,7 +905,7 @@
             }
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
-                    self.sample(place, end);
+                    self.sample(now, place, end);
                     self.cut_limit(now, place, end.took);
                 }
                 let server = &self.servers[place];
@@ -899,16 +919,16 @@
 
     /// What took until the end counts as well: guards against a jam that looks like quick answers, since only
     /// the quick ones come back.
-    fn sample(&mut self, place: usize, end: &PushEnd) -> Option<f64> {
+    fn sample(&mut self, now: At, place: usize, end: &PushEnd) -> Option<f64> {
         let (group, work) = (self.servers[place].group, self.ops.get(&end.op)?.work);
         let pace = end.took.secs() / work;
         let explained = work * self.paces(group).map_or(pace, |paces| paces.unhindered);
-        self.note_sample(Sample { server: place, group, took: end.took, pace, explained });
+        self.note_sample(Sample { at: now, server: place, group, took: end.took, pace, explained });
         Some(work)
     }
 
     fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
-        let Some(work) = self.sample(place, end) else { return };
+        let Some(work) = self.sample(now, place, end) else { return };
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.fall_window, work);
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -21,6 +21,14 @@
         self.0.push_back(sample);
     }
 
+    pub fn oldest(&self) -> Option<&T> {
+        self.0.front()
+    }
+
+    pub fn drop_oldest(&mut self) {
+        self.0.pop_front();
+    }
+
     pub fn iter(&self) -> impl DoubleEndedIterator<Item = &T> {
         self.0.iter()
     }
