--- a/src/host.rs
+++ b/src/host.rs
@@ -40,6 +40,13 @@
     NeverSent,
 }
 
+impl Ending {
+    /// Whether it proves that its push never ran; all others may have.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::NeverSent)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PushEnd {
     pub op: OpId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod policy;
 pub mod rng;
 pub mod samples;
+mod state;
 pub mod terms;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,9 +5,10 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
-use crate::ids::{AlarmId, At, CategoryId, CellId, KindId, OpId, PushNo, Span, TenantId, UpstreamId, ZoneId};
-use crate::rng::Pcg;
-use crate::samples::{Ring, Work};
+use crate::ids::{AlarmId, At, CategoryId, KindId, OpId, PushNo, Span, TenantId, UpstreamId};
+use crate::rng::{Pcg, mix};
+use crate::samples::Ring;
+use crate::state::{Figures, Op, Paces, Push, Sample, Server};
 use crate::terms::{Category, DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
@@ -48,91 +49,6 @@
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
-/// How one push ended, as evidence of its server.
-#[derive(Clone, Copy)]
-struct Sample {
-    at: At,
-    server: usize,
-    group: usize,
-    took: Span,
-    /// Seconds taken for each second of hinted work.
-    pace: f64,
-    /// Seconds that its work explains.
-    explained: f64,
-}
-
-/// What the last samples say, of all servers and of each group.
-struct Figures {
-    median: Span,
-    /// Nine tenths of answers took no longer.
-    most: Span,
-    work: f64,
-    paces: Vec<Option<Paces>>,
-}
-
-#[derive(Clone, Copy)]
-struct Paces {
-    /// What an answer takes on the whole, long ones and all.
-    mean: Span,
-    median: f64,
-    /// The pace when nothing holds the group up. In a jam the latest samples all tell of waiting, so that the
-    /// waiting would pass for the servers' own slowness.
-    unhindered: f64,
-}
-
-struct Server {
-    id: UpstreamId,
-    group: usize,
-    zone: ZoneId,
-    cell: CellId,
-    size: f64,
-    ready: bool,
-    /// When it last started; its warming is counted from here. None: long ago.
-    up_since: Option<At>,
-    in_flight: u32,
-    /// For all balancers together; each keeps to its part.
-    limit: f64,
-    /// Something was pushed to it since its connections were closed.
-    is_open: bool,
-    cut_at: At,
-    cut: bool,
-    good_in_a_row: u32,
-    /// Since when it owes an answer and has given none, and the largest work it got in that time.
-    owes_since: Option<At>,
-    owed_work: f64,
-    /// Good answers that it still has to give on trial; none are owed by a trusted server.
-    to_prove: u32,
-    trial_from: At,
-    /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
-    free_since: At,
-    /// Its last push came soon after its rest: its limit is what kept more away.
-    is_used: bool,
-    relapses: u32,
-    /// The work pushed, and the work answered, within the fall window.
-    sent: Work,
-    answered: Work,
-}
-
-#[derive(Clone, Copy)]
-struct Push {
-    server: usize,
-    at: At,
-    out: bool,
-    may_have_run: bool,
-}
-
-struct Op {
-    arrival: OpArrival,
-    work: f64,
-    target: At,
-    ends: At,
-    benefit: f64,
-    pushes: Vec<Push>,
-    queued: bool,
-    streaming: bool,
-    due: At,
-}
-
 /// The one shared table. Group 0 is default, 1 the tip, the others are ranges, and each range owns the slots
 /// of the hashed key space from the end before it up to its own, inclusive; the rest above is default's.
 struct Table {
@@ -178,18 +94,6 @@
     list_failures: u32,
 }
 
-/// A fixed mix, so that every balancer hashes alike; the constants are those of SplitMix64.
-fn mix(mut bits: u64) -> u64 {
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
-
-/// Whether an ending proves that its push never ran; all others may have.
-fn never_ran(ending: Ending) -> bool {
-    matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::NeverSent)
-}
-
 fn table_of(rows: &[Listing]) -> Table {
     let mut sizes: BTreeMap<KindId, (usize, f64)> = BTreeMap::new();
     for row in rows.iter().filter(|row| row.condition != Condition::Gone) {
@@ -329,33 +233,8 @@
             self.places.insert(row.upstream, self.servers.len());
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
-            // Guards against many balancers that start at once: each joins in at a time of its own.
-            let rest = self.usual_time(group).times(self.sharers(group) / FIRST_LIMIT);
-            let free_since = now - rest.times(self.rng.unit());
-            self.servers.push(Server {
-                id: row.upstream,
-                group,
-                zone: row.zone,
-                cell: row.cell,
-                size: row.size,
-                ready: row.condition == Condition::Ready,
-                up_since: row.up_since,
-                in_flight: 0,
-                limit: if is_cold { LEAST_LIMIT } else { FIRST_LIMIT },
-                is_open: false,
-                cut_at: now,
-                cut: false,
-                good_in_a_row: 0,
-                owes_since: None,
-                owed_work: 0.0,
-                to_prove: 0,
-                trial_from: now,
-                free_since,
-                is_used: false,
-                relapses: 0,
-                sent: Work::default(),
-                answered: Work::default(),
-            });
+            let limit = if is_cold { LEAST_LIMIT } else { FIRST_LIMIT };
+            self.servers.push(Server::listed(now, row, group, limit));
             return;
         };
         let server = &mut self.servers[place];
@@ -798,14 +677,11 @@
         };
         let patience = self.patience(self.servers[place].group, self.ops[&op].work);
         let usual_work = self.usual_work();
-        let server = &self.servers[place];
-        let rest = self.rests_until(server) - server.free_since;
-        let is_used = server.in_flight > 0 || now - server.free_since <= rest.times(2.0);
         let state = self.ops.get_mut(&op).expect("an op that is placed is held");
         state.queued = false;
         state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
         let server = &mut self.servers[place];
-        (server.is_used, server.is_open) = (is_used, true);
+        server.is_open = true;
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
@@ -884,7 +760,7 @@
         if let Some(state) = self.ops.get_mut(&end.op) {
             if let Some(push) = state.pushes.get_mut(usize::from(end.push.0)) {
                 push.out = false;
-                push.may_have_run = !never_ran(end.ending);
+                push.may_have_run = !end.ending.never_ran();
             }
             if end.concluded {
                 self.forget(end.op);
@@ -941,76 +817,31 @@
                 self.doubted.retain(|&doubted| doubted != place);
             }
         }
-        if self.is_overdriven(place) {
-            self.cut_limit(now, place, end.took);
-        } else {
-            self.grow_limit(place);
+        let own = self.fleet.iter().rev().filter(|of| of.server == place).take(SERVER_SAMPLES);
+        let sums = own.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
+        if sums.0 > CROWDED * sums.1 {
+            return self.cut_limit(now, place, end.took);
         }
-    }
-
-    /// The last answers of a server; newest first.
-    fn own_samples(&self, place: usize) -> impl Iterator<Item = &Sample> {
-        self.fleet.iter().rev().filter(move |of| of.server == place).take(SERVER_SAMPLES)
-    }
-
-    /// How much of the evidence of a server has to be lent by its group.
-    fn lent(&self, place: usize) -> f64 {
-        1.0 - self.own_samples(place).count() as f64 / SERVER_SAMPLES as f64
-    }
-
-    /// Guards against knowing nothing where each of many balancers has an answer of a server only now and
-    /// then: what a server's own last answers lack, the latest of its group lend.
-    fn is_overdriven(&self, place: usize) -> bool {
-        let group = self.servers[place].group;
-        let lacking = SERVER_SAMPLES - self.own_samples(place).count();
-        let fellows = self.fleet.iter().rev().filter(|of| of.group == group && of.server != place);
-        let samples = self.own_samples(place).chain(fellows.take(lacking));
-        let sums = samples.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
-        sums.0 > CROWDED * sums.1
-    }
-
-    fn grow_limit(&mut self, place: usize) {
-        let lent = self.lent(place);
-        let group = self.servers[place].group;
-        let (sharers, own) = (self.sharers(group), self.subset(group).max(1) as f64);
-        // By one for all balancers together: each of ten growing by one would overshoot by ten. But
-        // faster where nothing was cut yet, or a server that has warmed up would stay idle.
-        let step = |server: &Server| if server.cut { 1.0 } else { LEAST_LIMIT.min(sharers) };
+        let sharers = self.sharers(self.servers[place].group);
         let server = &mut self.servers[place];
         let part = server.limit / sharers;
-        let is_used =
-            if part < 1.0 { server.is_used } else { f64::from(server.in_flight) + 1.0 >= part / 2.0 };
-        if !is_used {
-            return;
-        }
-        server.limit += (1.0 - lent) * step(server) / part.max(1.0);
-        for &(_, fellow) in &self.members[group] {
-            let server = &mut self.servers[fellow];
-            // What is lent is little: it must not outgrow the cuts.
-            let most = server.limit * (1.0 - LIMIT_KEPT) / 4.0;
-            server.limit += lent * (step(server) * sharers / server.limit / own).min(most);
+        if f64::from(server.in_flight) + 1.0 >= part / 2.0 {
+            // By one for all balancers together: each of ten growing by one would overshoot by ten. But
+            // faster where nothing was cut yet, or a server that has warmed up would stay idle.
+            let step = if server.cut { 1.0 } else { LEAST_LIMIT.min(sharers) };
+            server.limit += step / part.max(1.0);
         }
     }
 
     /// One cut for all that was pushed before it: what was out already says nothing of the smaller limit.
     fn cut_limit(&mut self, now: At, place: usize, took: Span) {
-        let lent = self.lent(place);
         let sharers = self.sharers(self.servers[place].group);
         let server = &mut self.servers[place];
-        if now - server.cut_at <= took {
-            return;
-        }
-        server.limit = server.limit.min(f64::from(server.in_flight.max(1)) * sharers);
-        let group = server.group;
-        for fellow in 0..self.servers.len() {
-            let is_hit = fellow == place
-                || self.servers[fellow].group == group && lent > 0.0 && self.rng.unit() < lent;
-            let server = &mut self.servers[fellow];
-            if is_hit && now - server.cut_at > took {
-                server.cut_at = now;
-                server.limit = (server.limit * LIMIT_KEPT).max(LEAST_LIMIT);
-                server.cut = true;
-            }
+        if now - server.cut_at > took {
+            server.cut_at = now;
+            let used = server.limit.min(f64::from(server.in_flight.max(1)) * sharers);
+            server.limit = (used * LIMIT_KEPT).max(LEAST_LIMIT);
+            server.cut = true;
         }
     }
 
--- a/src/rng.rs
+++ b/src/rng.rs
@@ -22,3 +22,10 @@
         f64::from(self.draw()) / 4294967296.0
     }
 }
+
+/// A fixed mix, so that every balancer hashes alike; the constants are those of SplitMix64.
+pub fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,116 @@
+//! What a balancer keeps of its servers and ops; every decision that reads or changes it is in [`crate::policy`].
+
+use crate::host::{Condition, Listing, OpArrival};
+use crate::ids::{At, CellId, Span, UpstreamId, ZoneId};
+use crate::samples::Work;
+
+/// How one push ended, as evidence of its server.
+#[derive(Clone, Copy)]
+pub struct Sample {
+    pub at: At,
+    pub server: usize,
+    pub group: usize,
+    pub took: Span,
+    /// Seconds taken for each second of hinted work.
+    pub pace: f64,
+    /// Seconds that its work explains.
+    pub explained: f64,
+}
+
+/// What the last samples say, of all servers and of each group.
+pub struct Figures {
+    pub median: Span,
+    /// Nine tenths of answers took no longer.
+    pub most: Span,
+    pub work: f64,
+    pub paces: Vec<Option<Paces>>,
+}
+
+#[derive(Clone, Copy)]
+pub struct Paces {
+    /// What an answer takes on the whole, long ones and all.
+    pub mean: Span,
+    pub median: f64,
+    /// The pace when nothing holds the group up. In a jam the latest samples all tell of waiting, so that the
+    /// waiting would pass for the servers' own slowness.
+    pub unhindered: f64,
+}
+
+pub struct Server {
+    pub id: UpstreamId,
+    pub group: usize,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub size: f64,
+    pub ready: bool,
+    /// When it last started; its warming is counted from here. None: long ago.
+    pub up_since: Option<At>,
+    pub in_flight: u32,
+    /// For all balancers together; each keeps to its part.
+    pub limit: f64,
+    /// Something was pushed to it since its connections were closed.
+    pub is_open: bool,
+    pub cut_at: At,
+    pub cut: bool,
+    pub good_in_a_row: u32,
+    /// Since when it owes an answer and has given none, and the largest work it got in that time.
+    pub owes_since: Option<At>,
+    pub owed_work: f64,
+    /// Good answers that it still has to give on trial; none are owed by a trusted server.
+    pub to_prove: u32,
+    pub trial_from: At,
+    /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
+    pub free_since: At,
+    pub relapses: u32,
+    /// The work pushed, and the work answered, within the fall window.
+    pub sent: Work,
+    pub answered: Work,
+}
+
+#[derive(Clone, Copy)]
+pub struct Push {
+    pub server: usize,
+    pub at: At,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+pub struct Op {
+    pub arrival: OpArrival,
+    pub work: f64,
+    pub target: At,
+    pub ends: At,
+    pub benefit: f64,
+    pub pushes: Vec<Push>,
+    pub queued: bool,
+    pub streaming: bool,
+    pub due: At,
+}
+
+impl Server {
+    pub fn listed(now: At, row: &Listing, group: usize, limit: f64) -> Server {
+        Server {
+            id: row.upstream,
+            group,
+            zone: row.zone,
+            cell: row.cell,
+            size: row.size,
+            ready: row.condition == Condition::Ready,
+            up_since: row.up_since,
+            in_flight: 0,
+            limit,
+            is_open: false,
+            cut_at: now,
+            cut: false,
+            good_in_a_row: 0,
+            owes_since: None,
+            owed_work: 0.0,
+            to_prove: 0,
+            trial_from: now,
+            free_since: At(i64::MIN),
+            relapses: 0,
+            sent: Work::default(),
+            answered: Work::default(),
+        }
+    }
+}
