Grow limits under one push only while ops wait; reckon rests within the target

A write-out shows limits of 18 to 42 in flight for servers of two or three cores before the crash (they grew where nothing waited), and 28 to 45 in flight after it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -638,11 +638,12 @@
         server.limit / self.sharers(server.group)
     }
 
-    /// Answers that are to be in time take a part of the target: what to go by before the first of them.
+    /// Answers that are to be in time take a part of the target: what to go by before the first of them. And no
+    /// more than the target counts: guards against rests so long after a jam that nobody learns of its end.
     fn usual_time(&self, group: usize) -> Span {
         let least = self.terms.categories.iter().map(|category| category.target_latency).min();
-        let guess = least.unwrap_or(Span::ZERO).times(0.25);
-        self.paces(group).map_or(guess, |paces| paces.mean)
+        let least = least.unwrap_or(Span::ZERO);
+        self.paces(group).map_or(least.times(0.25), |paces| paces.mean.min(least))
     }
 
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
@@ -823,9 +824,11 @@
             return self.cut_limit(now, place, end.took);
         }
         let sharers = self.sharers(self.servers[place].group);
+        // Under one push, in flight says nothing of use: guards against limits that grow where nothing waits.
+        let is_wanted = self.is_crowded(now);
         let server = &mut self.servers[place];
         let part = server.limit / sharers;
-        if f64::from(server.in_flight) + 1.0 >= part / 2.0 {
+        if if part < 1.0 { is_wanted } else { f64::from(server.in_flight) + 1.0 >= part / 2.0 } {
             // By one for all balancers together: each of ten growing by one would overshoot by ten. But
             // faster where nothing was cut yet, or a server that has warmed up would stay idle.
             let step = if server.cut { 1.0 } else { LEAST_LIMIT.min(sharers) };
