--- a/src/policy.rs
+++ b/src/policy.rs
@@ -628,22 +628,22 @@
     }
 
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
-    /// kept as a share of the time. Reckoned anew from what is usual now: a rest after a long answer in a jam
-    /// would outlast the jam by minutes, and one after a full server's quick word would be none.
+    /// kept as a share of the time. By what the last push there took, or is usual now if that is longer; but
+    /// never longer than ops live, or nobody would learn of the end of a jam.
     fn rests_until(&self, server: &Server) -> At {
-        server.free_since + self.usual_time(server.group).times((1.0 / self.part(server) - 1.0).max(0.0))
+        let longest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
+        let held = self.usual_time(server.group).max(server.last_took);
+        server.free_since + held.times((1.0 / self.part(server) - 1.0).max(0.0)).min(longest)
     }
 
     fn part(&self, server: &Server) -> f64 {
         server.limit / self.sharers(server.group)
     }
 
-    /// Answers that are to be in time take a part of the target: what to go by before the first of them. And no
-    /// more than the target counts: guards against rests so long after a jam that nobody learns of its end.
+    /// Answers that are to be in time take a part of the target: what to go by before the first of them.
     fn usual_time(&self, group: usize) -> Span {
         let least = self.terms.categories.iter().map(|category| category.target_latency).min();
-        let least = least.unwrap_or(Span::ZERO);
-        self.paces(group).map_or(least.times(0.25), |paces| paces.mean.min(least))
+        self.paces(group).map_or(least.unwrap_or(Span::ZERO).times(0.25), |paces| paces.mean)
     }
 
     /// Answered work, not pushed work: in a jam warm servers are sent far more than they can do. And that of
@@ -750,7 +750,7 @@
             self.answered_at = Some(now);
         }
         if server.in_flight == 0 {
-            server.free_since = now;
+            (server.free_since, server.last_took) = (now, end.took);
             server.owes_since = None;
             server.owed_work = 0.0;
         } else if answered {
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,7 @@
     pub trial_from: At,
     /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
     pub free_since: At,
+    pub last_took: Span,
     pub relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
     pub sent: Work,
@@ -108,6 +109,7 @@
             to_prove: 0,
             trial_from: now,
             free_since: At(i64::MIN),
+            last_took: Span::ZERO,
             relapses: 0,
             sent: Work::default(),
             answered: Work::default(),
