--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,8 +41,6 @@
 const CROWDED: f64 = 1.1;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
-/// Where a server's limits start, for all balancers together: enough for a few cores, and they grow.
-const FIRST_LIMIT: f64 = 8.0;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
 /// one server that falls over costs more than some that idle for seconds.
 const COLD_MARGIN: f64 = 0.8;
@@ -233,8 +231,7 @@
             self.places.insert(row.upstream, self.servers.len());
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
-            let limit = if is_cold { LEAST_LIMIT } else { FIRST_LIMIT };
-            self.servers.push(Server::listed(now, row, group, limit));
+            self.servers.push(Server::listed(now, row, group, LEAST_LIMIT));
             return;
         };
         let server = &mut self.servers[place];
