--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,7 +2,6 @@
 //! that implements [`crate::host::Host`]; then call the one method for each thing that happens, in the order
 //! in which it happens. The balancer acts at once, by calling the host, and keeps no clock of its own.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
@@ -40,7 +39,6 @@
 /// A server whose last answers took so many times what their work explains is crowded. Well under two: one
 /// that holds many ops does less work, and another group or the queue has a better use for the op.
 const CROWDED: f64 = 1.1;
-const TIE_MULTIPLE: f64 = 2.0;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
@@ -423,20 +421,7 @@
         }
         let (_, first) = best[0]?;
         let Some((_, second)) = best[1] else { return Some(first) };
-        let in_flight = |place: usize| self.servers[place].in_flight;
-        let crowding = |place| self.crowding(place).unwrap_or(1.0);
-        Some(match in_flight(second).cmp(&in_flight(first)) {
-            Ordering::Less => second,
-            Ordering::Equal if crowding(first) > TIE_MULTIPLE * crowding(second) => second,
-            _ => first,
-        })
-    }
-
-    /// How many times longer than their work explains the server's last answers took.
-    fn crowding(&self, place: usize) -> Option<f64> {
-        let own = self.fleet.iter().rev().filter(|of| of.server == place).take(SERVER_SAMPLES);
-        let sums = own.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
-        (sums.1 > 0.0).then(|| sums.0 / sums.1)
+        Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
     }
 
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
@@ -830,7 +815,9 @@
                 self.doubted.retain(|&doubted| doubted != place);
             }
         }
-        if self.crowding(place).is_some_and(|crowding| crowding > CROWDED) {
+        let own = self.fleet.iter().rev().filter(|of| of.server == place).take(SERVER_SAMPLES);
+        let sums = own.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
+        if sums.0 > CROWDED * sums.1 {
             return self.cut_limit(now, place, end.took);
         }
         let sharers = self.sharers(self.servers[place].group);
