Let the own servers of a group rest together

Cause: where a balancer's part of a server is under one push, each of its two servers in a group could hold one and rested by itself; hundreds of balancers round up twice, and two short rests follow each other where one long is meant.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -412,6 +412,7 @@
         let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
+        let groups = groups.filter(|&group| self.has_room(group));
         for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
             if drawn <= best[1] || !self.may_take(now, op, place) {
@@ -424,6 +425,17 @@
         Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
     }
 
+    /// Guards against hundreds of balancers that each round their part of every server up to a push: together
+    /// they keep to the parts of all their servers of a group, rounded up once.
+    fn has_room(&self, group: usize) -> bool {
+        let out: u32 = self.own(group).map(|(_, place)| self.servers[place].in_flight).sum();
+        f64::from(out) < self.parts(group).max(1.0)
+    }
+
+    fn parts(&self, group: usize) -> f64 {
+        self.own(group).map(|(_, place)| self.part(&self.servers[place])).sum()
+    }
+
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_new = !op.pushes.iter().any(|push| push.server == place);
@@ -629,8 +641,11 @@
     /// never longer than ops live, or nobody would learn of the end of a jam.
     fn rests_until(&self, server: &Server) -> At {
         let longest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
-        let held = self.usual_time(server.group).max(server.last_took);
-        server.free_since + held.times((1.0 / self.part(server) - 1.0).max(0.0)).min(longest)
+        let own = self.own(server.group).map(|(_, place)| &self.servers[place]);
+        let last = own.max_by_key(|own| own.free_since).unwrap_or(server);
+        let held = self.usual_time(server.group).max(last.last_took);
+        let parts = self.parts(server.group).max(self.part(server));
+        last.free_since + held.times((1.0 / parts - 1.0).max(0.0)).min(longest)
     }
 
     fn part(&self, server: &Server) -> f64 {
