--- a/src/policy.rs
+++ b/src/policy.rs
@@ -790,7 +790,6 @@
             Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
             Ending::Full => self.cut_limit(now, place, end.took),
             Ending::ConnectFailed | Ending::Reset => {
-                self.servers[place].may_be_new = true;
                 self.set_aside(now, place, Span::ZERO, "its connection failed")
             }
             Ending::TimedOut | Ending::Cancelled => {
@@ -825,11 +824,6 @@
         if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
-        if std::mem::take(&mut server.may_be_new) {
-            // Guards against a list that is late or out of reach: what answers again after its connections
-            // broke has most likely started anew, and is cold.
-            server.up_since = Some(now);
-        }
         if server.to_prove > 0 {
             server.to_prove -= 1;
             if server.to_prove == 0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,8 +45,6 @@
     pub ready: bool,
     /// When it last started; its warming is counted from here. None: long ago.
     pub up_since: Option<At>,
-    /// Its connections broke since it last answered.
-    pub may_be_new: bool,
     pub in_flight: u32,
     /// For all balancers together; each keeps to its part.
     pub limit: f64,
@@ -100,7 +98,6 @@
             size: row.size,
             ready: row.condition == Condition::Ready,
             up_since: row.up_since,
-            may_be_new: false,
             in_flight: 0,
             limit,
             is_open: false,
