--- a/src/policy.rs
+++ b/src/policy.rs
@@ -445,7 +445,8 @@
     fn may_try(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         // Guards against hundreds of balancers whose trials alone keep a server ill: trials rest as well.
-        let from = server.trial_from.max(self.rests_until(server));
+        let rest = self.rest(self.usual_time(server.group).max(server.last_took), self.part(server));
+        let from = server.trial_from.max(server.full_until).max(server.free_since + rest);
         let is_due = now >= from && server.in_flight == 0 && op.pushes.is_empty();
         is_due && self.may_try_out(op) && self.may_get(now, op, place)
     }
@@ -640,12 +641,16 @@
     /// kept as a share of the time. By what the last push there took, or is usual now if that is longer; but
     /// never longer than ops live, or nobody would learn of the end of a jam.
     fn rests_until(&self, server: &Server) -> At {
-        let longest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
         let own = self.own(server.group).map(|(_, place)| &self.servers[place]);
         let last = own.max_by_key(|own| own.free_since).unwrap_or(server);
         let held = self.usual_time(server.group).max(last.last_took);
         let parts = self.parts(server.group).max(self.part(server));
-        last.free_since + held.times((1.0 / parts - 1.0).max(0.0)).min(longest)
+        server.full_until.max(last.free_since + self.rest(held, parts))
+    }
+
+    fn rest(&self, held: Span, part: f64) -> Span {
+        let longest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
+        held.times((1.0 / part - 1.0).max(0.0)).min(longest)
     }
 
     fn part(&self, server: &Server) -> f64 {
@@ -788,7 +793,13 @@
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
-            Ending::Full => self.cut_limit(now, place, end.took),
+            Ending::Full => {
+                self.cut_limit(now, place, end.took);
+                // Guards against a server that never empties: what hundreds of balancers ask of it again at
+                // once fills each place that comes free, and waits there until it is too late.
+                let rest = self.rest(self.most(), self.part(&self.servers[place]));
+                self.servers[place].full_until = now + rest;
+            }
             Ending::ConnectFailed | Ending::Reset => {
                 self.set_aside(now, place, Span::ZERO, "its connection failed")
             }
