--- a/src/policy.rs
+++ b/src/policy.rs
@@ -446,7 +446,7 @@
         let server = &self.servers[place];
         // Guards against hundreds of balancers whose trials alone keep a server ill: trials rest as well.
         let rest = self.rest(self.usual_time(server.group).max(server.last_took), self.part(server));
-        let from = server.trial_from.max(server.full_until).max(server.free_since + rest);
+        let from = server.trial_from.max(server.free_since + rest);
         let is_due = now >= from && server.in_flight == 0 && op.pushes.is_empty();
         is_due && self.may_try_out(op) && self.may_get(now, op, place)
     }
@@ -644,8 +644,7 @@
         let own = self.own(server.group).map(|(_, place)| &self.servers[place]);
         let last = own.max_by_key(|own| own.free_since).unwrap_or(server);
         let held = self.usual_time(server.group).max(last.last_took);
-        let parts = self.parts(server.group).max(self.part(server));
-        server.full_until.max(last.free_since + self.rest(held, parts))
+        last.free_since + self.rest(held, self.parts(server.group).max(self.part(server)))
     }
 
     fn rest(&self, held: Span, part: f64) -> Span {
@@ -793,13 +792,7 @@
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
-            Ending::Full => {
-                self.cut_limit(now, place, end.took);
-                // Guards against a server that never empties: what hundreds of balancers ask of it again at
-                // once fills each place that comes free, and waits there until it is too late.
-                let rest = self.rest(self.most(), self.part(&self.servers[place]));
-                self.servers[place].full_until = now + rest;
-            }
+            Ending::Full => self.cut_limit(now, place, end.took),
             Ending::ConnectFailed | Ending::Reset => {
                 self.set_aside(now, place, Span::ZERO, "its connection failed")
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,8 +62,6 @@
     /// When the last of ours there ended; a limit under one is kept as a share of the time from here.
     pub free_since: At,
     pub last_took: Span,
-    /// It was full, and is left alone until then.
-    pub full_until: At,
     pub relapses: u32,
     /// The work pushed, and the work answered, within the fall window.
     pub sent: Work,
@@ -112,7 +110,6 @@
             trial_from: now,
             free_since: At(i64::MIN),
             last_took: Span::ZERO,
-            full_until: At(i64::MIN),
             relapses: 0,
             sent: Work::default(),
             answered: Work::default(),
