Space out light ops at a cold server where a part is under one op

Evidence is now looked for as far back as eight answers reach, and where the part is under a usual op a light one goes at a time, as far apart as the part is small, the first by chance.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -231,7 +231,8 @@
             self.places.insert(row.upstream, self.servers.len());
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
-            self.servers.push(Server::listed(now, row, group, LEAST_LIMIT));
+            let phase = self.rng.unit();
+            self.servers.push(Server { phase, ..Server::listed(now, row, group, LEAST_LIMIT) });
             return;
         };
         let server = &mut self.servers[place];
@@ -244,7 +245,7 @@
             }
             server.cut = false;
             // A new process answers for itself, not for the failures of the old one.
-            (server.trial_from, server.relapses) = (now, 0);
+            (server.trial_from, server.relapses, server.told_at) = (now, 0, now);
         }
     }
 
@@ -524,32 +525,12 @@
             return;
         }
         self.reckoned_at = now;
-        let took =
-            |part| Span::from_secs(self.fleet.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
-        let (median_took, most) = (took(0.5), took(0.9));
-        let hinted: f64 = self.hints.iter().sum();
-        let work = if self.hints.is_empty() { 1.0 } else { hinted / self.hints.len() as f64 };
         // The first answers too: if a jam follows the start, they alone tell of a time without one.
         let is_round =
             self.answers == ANSWERS_BETWEEN_FIGURES || self.answers.is_multiple_of(FLEET_SAMPLES / 2);
-        let mut paces = Vec::with_capacity(self.table.kinds.len());
-        for group in 0..self.table.kinds.len() {
-            let median = self.fleet.quantile(0.5, |of| (of.group == group).then_some(of.pace));
-            if let Some(median) = median.filter(|_| is_round) {
-                self.floors.put((group, median));
-            }
-            let floors = self.floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
-            let unhindered = floors.min_by(f64::total_cmp).or(median);
-            let took = self.fleet.iter().filter(|of| of.group == group).map(|of| of.took.secs());
-            let (count, sum) = took.fold((0.0, 0.0), |(count, sum), took| (count + 1.0, sum + took));
-            let mean = Span::from_secs(if count > 0.0 { sum / count } else { median_took.secs() });
-            paces.push(unhindered.map(|unhindered| Paces {
-                mean,
-                median: median.unwrap_or(unhindered),
-                unhindered,
-            }));
-        }
-        self.figures = Some(Figures { median: median_took, most, work, paces });
+        let groups = self.table.kinds.len();
+        let figures = Figures::reckon(&self.fleet, &mut self.floors, &self.hints, groups, is_round);
+        self.figures = Some(figures);
     }
 
     /// How long an op of this work may stay unanswered in this group before that means something.
@@ -631,10 +612,20 @@
             return in_flight == 0.0
                 && work <= self.usual_work() * share / self.terms.cold.least_share.max(1e-3);
         };
-        let sent = server.sent.within(now, self.terms.cold.fall_window);
-        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
+        let window = self.terms.cold.fall_window;
+        let (_, sent) = server.sent.within(now, window);
+        let (usual, budget) =
+            (self.usual_work(), self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size);
+        if budget < usual {
+            // Guards against hundreds of balancers of which none has room for an op in its own part of the
+            // window: a light one goes at a time, as far apart as its part is small, the first by chance.
+            let gap = window.times(usual / budget);
+            let last =
+                server.sent.last().unwrap_or(At(i64::MIN)).max(server.told_at - gap.times(server.phase));
+            return work <= usual && in_flight == 0.0 && now - last >= gap;
+        }
         // A small hint is often too small: a swarm of small ops pushes a server over as a few large ones do.
-        sent + work.max(self.usual_work()) <= budget && in_flight < self.part(server).max(1.0)
+        sent + work.max(usual) <= budget && in_flight < self.part(server).max(1.0)
     }
 
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
@@ -671,11 +662,20 @@
         }
         self.borne_at = Some(now);
         let mut borne: Vec<Vec<f64>> = vec![Vec::new(); self.table.kinds.len()];
-        for (_, place) in (0..self.members.len()).flat_map(|group| self.own(group)) {
-            let server = &self.servers[place];
-            if self.cold_share(now, server) >= 1.0 {
-                borne[server.group].push(server.answered.within(now, window) / server.size);
+        for (group, borne) in borne.iter_mut().enumerate() {
+            let own = self.own(group).map(|(_, place)| &self.servers[place]);
+            let warm: Vec<&Server> = own.filter(|server| self.cold_share(now, server) >= 1.0).collect();
+            let answers = |span| warm.iter().map(|server| server.answered.within(now, span).0).sum::<usize>();
+            // One of many balancers has to look back further for as much evidence.
+            let mut spans = 1.0;
+            while answers(window.times(spans)) < SERVER_SAMPLES
+                && window.times(2.0 * spans) <= self.terms.cold.warm_within
+            {
+                spans *= 2.0;
             }
+            let of =
+                |server: &&Server| server.answered.within(now, window.times(spans)).1 / spans / server.size;
+            borne.extend(warm.iter().map(of));
         }
         let weak = |of: &mut Vec<f64>| {
             let place = of.len() / 4;
@@ -702,7 +702,7 @@
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
         server.owed_work = server.owed_work.max(state.work);
-        server.sent.put(now, self.terms.cold.fall_window, state.work.max(usual_work));
+        server.sent.put(now, self.terms.cold.warm_within, state.work.max(usual_work));
         self.out += 1;
         self.host.push(op, server.id);
         let category = self.terms.category(state.arrival.category);
@@ -824,7 +824,7 @@
         let Some(work) = self.sample(now, place, end) else { return };
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
-        server.answered.put(now, self.terms.cold.fall_window, work);
+        server.answered.put(now, self.terms.cold.warm_within, work);
         if server.good_in_a_row >= FORGETS_AFTER {
             server.relapses = 0;
         }
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -54,28 +54,23 @@
     }
 }
 
-/// Amounts of work and when they came.
+/// Amounts of work and when they came, the oldest first.
 #[derive(Default)]
-pub struct Work {
-    came: VecDeque<(At, f64)>,
-    total: f64,
-}
+pub struct Work(VecDeque<(At, f64)>);
 
 impl Work {
-    pub fn put(&mut self, now: At, window: Span, work: f64) {
-        while let Some((_, gone)) = self.came.pop_front_if(|(at, _)| now - *at >= window) {
-            self.total -= gone;
-        }
-        if self.came.is_empty() {
-            // Subtraction leaves a little behind each time.
-            self.total = 0.0;
-        }
-        self.came.push_back((now, work));
-        self.total += work;
+    pub fn put(&mut self, now: At, kept_for: Span, work: f64) {
+        while self.0.pop_front_if(|(at, _)| now - *at >= kept_for).is_some() {}
+        self.0.push_back((now, work));
+    }
+
+    pub fn last(&self) -> Option<At> {
+        self.0.back().map(|&(at, _)| at)
     }
 
-    pub fn within(&self, now: At, window: Span) -> f64 {
-        let gone = self.came.iter().take_while(|(at, _)| now - *at >= window).map(|(_, work)| work);
-        (self.total - gone.sum::<f64>()).max(0.0)
+    /// How many came within the window, and their sum.
+    pub fn within(&self, now: At, window: Span) -> (usize, f64) {
+        let came = self.0.iter().rev().take_while(|(at, _)| now - *at < window);
+        came.fold((0, 0.0), |(count, sum), (_, work)| (count + 1, sum + work))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::host::{Condition, Listing, OpArrival};
 use crate::ids::{At, CellId, Span, UpstreamId, ZoneId};
-use crate::samples::Work;
+use crate::samples::{Ring, Work};
 
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
@@ -63,7 +63,10 @@
     pub free_since: At,
     pub last_took: Span,
     pub relapses: u32,
-    /// The work pushed, and the work answered, within the fall window.
+    /// When we were told of its last start, and by how much of a gap this balancer's first push there is early.
+    pub told_at: At,
+    pub phase: f64,
+    /// The work pushed, and the work answered, within the warming time.
     pub sent: Work,
     pub answered: Work,
 }
@@ -111,8 +114,38 @@
             free_since: At(i64::MIN),
             last_took: Span::ZERO,
             relapses: 0,
+            told_at: now,
+            phase: 0.0,
             sent: Work::default(),
             answered: Work::default(),
         }
     }
 }
+
+impl Figures {
+    /// Floors take the median pace of each group once a round.
+    pub fn reckon<const N: usize, const M: usize, const H: usize>(
+        samples: &Ring<Sample, N>,
+        floors: &mut Ring<(usize, f64), M>,
+        hints: &Ring<f64, H>,
+        groups: usize,
+        is_round: bool,
+    ) -> Figures {
+        let took = |part| Span::from_secs(samples.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
+        let mut of_group = |group| {
+            let median = samples.quantile(0.5, |of| (of.group == group).then_some(of.pace));
+            if let Some(median) = median.filter(|_| is_round) {
+                floors.put((group, median));
+            }
+            let of_floors = floors.iter().filter(|(of, _)| *of == group).map(|(_, pace)| *pace);
+            let unhindered = of_floors.min_by(f64::total_cmp).or(median)?;
+            let all = samples.iter().filter(|of| of.group == group).map(|of| of.took.secs());
+            let (count, sum) = all.fold((0.0, 0.0), |(count, sum), took| (count + 1.0, sum + took));
+            let mean = if count > 0.0 { Span::from_secs(sum / count) } else { took(0.5) };
+            Some(Paces { mean, median: median.unwrap_or(unhindered), unhindered })
+        };
+        let paces = (0..groups).map(&mut of_group).collect();
+        let work = if hints.is_empty() { 1.0 } else { hints.iter().sum::<f64>() / hints.len() as f64 };
+        Figures { median: took(0.5), most: took(0.9), work, paces }
+    }
+}
