--- a/src/policy.rs
+++ b/src/policy.rs
@@ -231,7 +231,7 @@
             self.places.insert(row.upstream, self.servers.len());
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
-            let phase = self.rng.unit();
+            let phase = if is_cold { self.rng.unit() } else { 0.0 };
             self.servers.push(Server { phase, ..Server::listed(now, row, group, LEAST_LIMIT) });
             return;
         };
@@ -241,6 +241,7 @@
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
             if is_cold {
+                server.phase = self.rng.unit();
                 server.limit = LEAST_LIMIT;
             }
             server.cut = false;
@@ -614,8 +615,8 @@
         };
         let window = self.terms.cold.fall_window;
         let (_, sent) = server.sent.within(now, window);
-        let (usual, budget) =
-            (self.usual_work(), self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size);
+        let usual = self.usual_work();
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         if budget < usual {
             // Guards against hundreds of balancers of which none has room for an op in its own part of the
             // window: a light one goes at a time, as far apart as its part is small, the first by chance.
