--- a/src/policy.rs
+++ b/src/policy.rs
@@ -204,29 +204,21 @@
     }
 
     /// The servers of the group that this balancer uses: when one is doubted, the next on the ring steps in.
-    /// So it does beside a cold one: guards against a release that leaves a balancer with cold servers alone.
-    fn own(&self, now: At, group: usize) -> impl Iterator<Item = (u64, usize)> {
+    fn own(&self, group: usize) -> impl Iterator<Item = (u64, usize)> {
         let members = self.members.get(group).into_iter().flatten().copied();
-        let trusted = members.filter(|&(_, place)| self.servers[place].to_prove == 0);
-        let (mut warm, most) = (0, self.subset(group));
-        let is_used = move |&(_, place): &(u64, usize)| {
-            let is_used = warm < most;
-            warm += usize::from(self.cold_share(now, &self.servers[place]) >= 1.0);
-            is_used
-        };
-        trusted.take_while(is_used).take(2 * most)
+        members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group))
     }
 
     /// Guards against filling servers' tables of connections: one that stepped in is left when it is not needed.
-    fn close_unused(&mut self, now: At, group: usize) {
-        let last = self.own(now, group).last();
-        let mut unused = self.members[group].iter().rev().take_while(|&&member| Some(member) != last);
-        while let Some(&(_, place)) = unused.next() {
+    fn close_unused(&mut self, group: usize) {
+        let mut used = self.subset(group);
+        for &(_, place) in &self.members[group] {
             let server = &mut self.servers[place];
-            if server.is_open && server.in_flight == 0 {
+            if used == 0 && server.is_open && server.in_flight == 0 {
                 server.is_open = false;
                 self.host.close_idle(server.id);
             }
+            used -= usize::from(used > 0 && server.to_prove == 0);
         }
     }
 
@@ -422,8 +414,8 @@
         let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
-        let groups = groups.filter(|&group| self.has_room(now, group));
-        for (id, place) in groups.flat_map(|group| self.own(now, group)) {
+        let groups = groups.filter(|&group| self.has_room(group));
+        for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
             if drawn <= best[1] || !self.may_take(now, op, place) {
                 continue;
@@ -437,13 +429,13 @@
 
     /// Guards against hundreds of balancers that each round their part of every server up to a push: together
     /// they keep to the parts of all their servers of a group, rounded up once.
-    fn has_room(&self, now: At, group: usize) -> bool {
-        let out: u32 = self.own(now, group).map(|(_, place)| self.servers[place].in_flight).sum();
-        f64::from(out) < self.parts(now, group).max(1.0)
+    fn has_room(&self, group: usize) -> bool {
+        let out: u32 = self.own(group).map(|(_, place)| self.servers[place].in_flight).sum();
+        f64::from(out) < self.parts(group).max(1.0)
     }
 
-    fn parts(&self, now: At, group: usize) -> f64 {
-        self.own(now, group).map(|(_, place)| self.part(&self.servers[place])).sum()
+    fn parts(&self, group: usize) -> f64 {
+        self.own(group).map(|(_, place)| self.part(&self.servers[place])).sum()
     }
 
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
@@ -463,8 +455,7 @@
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        let is_well =
-            server.to_prove == 0 && now >= self.rests_until(now, server) && !self.is_silent(now, server);
+        let is_well = server.to_prove == 0 && now >= self.rests_until(server) && !self.is_silent(now, server);
         is_well && self.may_get(now, op, place)
     }
 
@@ -624,11 +615,8 @@
         };
         let window = self.terms.cold.fall_window;
         let (_, sent) = server.sent.within(now, window);
-        // More balancers walk as far as a cold server than use a warm one.
-        let used = self.own(now, server.group).count().max(1);
-        let as_warm = self.subset(server.group).min(used) as f64 / used as f64;
         let usual = self.usual_work();
-        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size * as_warm;
+        let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         if budget < usual {
             // Guards against hundreds of balancers of which none has room for an op in its own part of the
             // window: a light one goes at a time, as far apart as its part is small, the first by chance.
@@ -644,11 +632,11 @@
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
     /// kept as a share of the time. By what the last push there took, or is usual now if that is longer; but
     /// never longer than ops live, or nobody would learn of the end of a jam.
-    fn rests_until(&self, now: At, server: &Server) -> At {
-        let own = self.own(now, server.group).map(|(_, place)| &self.servers[place]);
+    fn rests_until(&self, server: &Server) -> At {
+        let own = self.own(server.group).map(|(_, place)| &self.servers[place]);
         let last = own.max_by_key(|own| own.free_since).unwrap_or(server);
         let held = self.usual_time(server.group).max(last.last_took);
-        last.free_since + self.rest(held, self.parts(now, server.group).max(self.part(server)))
+        last.free_since + self.rest(held, self.parts(server.group).max(self.part(server)))
     }
 
     fn rest(&self, held: Span, part: f64) -> Span {
@@ -676,7 +664,7 @@
         self.borne_at = Some(now);
         let mut borne: Vec<Vec<f64>> = vec![Vec::new(); self.table.kinds.len()];
         for (group, borne) in borne.iter_mut().enumerate() {
-            let own = self.own(now, group).map(|(_, place)| &self.servers[place]);
+            let own = self.own(group).map(|(_, place)| &self.servers[place]);
             let warm: Vec<&Server> = own.filter(|server| self.cold_share(now, server) >= 1.0).collect();
             let answers = |span| warm.iter().map(|server| server.answered.within(now, span).0).sum::<usize>();
             // One of many balancers has to look back further for as much evidence.
@@ -786,7 +774,7 @@
             server.owes_since = Some(now);
         }
         let group = server.group;
-        self.close_unused(now, group);
+        self.close_unused(group);
         if let Some(state) = self.ops.get_mut(&end.op) {
             if let Some(push) = state.pushes.get_mut(usize::from(end.push.0)) {
                 push.out = false;
@@ -924,8 +912,8 @@
     }
 
     fn rests(&self, now: At) -> impl Iterator<Item = At> {
-        let own = (0..self.members.len()).flat_map(move |group| self.own(now, group));
-        own.map(move |(_, place)| self.rests_until(now, &self.servers[place])).filter(move |&until| until > now)
+        let own = (0..self.members.len()).flat_map(|group| self.own(group));
+        own.map(|(_, place)| self.rests_until(&self.servers[place])).filter(move |&until| until > now)
     }
 
     fn rested_by(&self, now: At, due: At) -> usize {
