--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -616,3 +616,30 @@
         "#]],
     );
 }
+
+#[test]
+fn many_balancers_space_out_light_ops_at_a_cold_server_and_trials_at_an_ill_one() {
+    let mut world = World::new(StartTerms { balancers: 12, ..terms() }, &one_kind(&[1, 2]));
+    for op in 0..40 {
+        world.op(op, READ, u64::from(op), 0.1).answered(op, 100).after_ms(900);
+    }
+    let started = Listing { up_since: Some(world.now), ..server(2, 0) };
+    world.balancer.list_changed(world.now, &[started]);
+    let mut to_cold = Vec::new();
+    for op in 100..118 {
+        if world.op(op, READ, u64::from(op), 0.02).last_pushed() == 2 {
+            to_cold.push(op - 100);
+        }
+        world.answered(op, 20).after_ms(980);
+    }
+    let ill = world.after_ms(3000).op(200, ORDER, 1, 0.02).last_pushed();
+    world.after_ms(1500).end_after(200, 0, ill, Ending::Reset, 1500);
+    let mut waited = 0;
+    while world.op(300 + waited, READ, 1, 0.02).last_pushed() != ill {
+        world.answered(300 + waited, 20).after_ms(180);
+        waited += 1;
+    }
+    let told = format!("at the cold server after {to_cold:?} s; a trial after {waited} fifths of a second");
+    expect!["at the cold server after [5, 8, 11, 16] s; a trial after 10 fifths of a second"]
+        .assert_eq(&told);
+}
