--- a/src/policy.rs
+++ b/src/policy.rs
@@ -189,8 +189,8 @@
         self.serve_queue(now);
     }
 
-    /// How many of the group's servers this balancer uses: guards against hundreds of balancers that each meet
-    /// each server too seldom to learn of it, and hold more connections to it than it takes.
+    /// How many of the group's servers this balancer uses: guards against hundreds of balancers that each
+    /// meet each server too seldom to learn of it, and hold more connections to it than it takes.
     fn subset(&self, group: usize) -> usize {
         let members = self.members.get(group).map_or(0, Vec::len);
         let part = LEAST_LIMIT / f64::from(self.terms.balancers.max(1));
@@ -209,7 +209,7 @@
         members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group))
     }
 
-    /// Guards against filling servers' tables of connections: one that stepped in is left when it is not needed.
+    /// Guards against filling servers' tables of connections: one that stepped in is left in the end.
     fn close_unused(&mut self, group: usize) {
         let mut used = self.subset(group);
         for &(_, place) in &self.members[group] {
