--- a/src/policy.rs
+++ b/src/policy.rs
@@ -840,16 +840,14 @@
         if sums.0 > CROWDED * sums.1 {
             return self.cut_limit(now, place, end.took);
         }
-        let sharers = self.sharers(self.servers[place].group);
-        // Under one push, in flight says nothing of use: guards against limits that grow where nothing waits.
-        let is_wanted = self.is_crowded(now);
-        let server = &mut self.servers[place];
-        let part = server.limit / sharers;
-        if if part < 1.0 { is_wanted } else { f64::from(server.in_flight) + 1.0 >= part / 2.0 } {
+        // Guards against limits that grow where nothing waits, until they keep nothing away in a jam.
+        if self.is_crowded(now) {
+            let sharers = self.sharers(self.servers[place].group);
+            let server = &mut self.servers[place];
             // By one for all balancers together: each of ten growing by one would overshoot by ten. But
             // faster where nothing was cut yet, or a server that has warmed up would stay idle.
             let step = if server.cut { 1.0 } else { LEAST_LIMIT.min(sharers) };
-            server.limit += step / part.max(1.0);
+            server.limit += step / (server.limit / sharers).max(1.0);
         }
     }
 
