Work out a group's room and rest once a draw, not once a server

Found on rereading the change: the rest and the parts of a group were worked out anew for each of its servers, which made a draw quadratic in the subset; the longest TTL was looked for in two places; a cold server's window was summed before it was known to be needed; a draw checked for trust what its walk had already filtered; an alarm's branches stood apart.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -414,7 +414,7 @@
         let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
-        let groups = groups.filter(|&group| self.has_room(group));
+        let groups = groups.filter(|&group| self.has_room(group) && now >= self.rests_until(group));
         for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
             if drawn <= best[1] || !self.may_take(now, op, place) {
@@ -455,8 +455,7 @@
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        let is_well = server.to_prove == 0 && now >= self.rests_until(server) && !self.is_silent(now, server);
-        is_well && self.may_get(now, op, place)
+        !self.is_silent(now, server) && self.may_get(now, op, place)
     }
 
     /// A server that failed is tried with the ops that lose least if it fails again.
@@ -514,7 +513,7 @@
         self.answers += 1;
         // Guards against going by what was usual before a trouble: where balancers are many the last samples
         // reach back half a minute, but no op that is still held is older than the longest TTL.
-        let oldest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
+        let oldest = self.terms.longest_ttl();
         while self.fleet.len() > SERVER_SAMPLES && self.fleet.oldest().is_some_and(|of| now - of.at > oldest)
         {
             self.fleet.drop_oldest();
@@ -614,7 +613,6 @@
                 && work <= self.usual_work() * share / self.terms.cold.least_share.max(1e-3);
         };
         let window = self.terms.cold.fall_window;
-        let (_, sent) = server.sent.within(now, window);
         let usual = self.usual_work();
         let budget = self.terms.cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         if budget < usual {
@@ -625,6 +623,7 @@
                 server.sent.last().unwrap_or(At(i64::MIN)).max(server.told_at - gap.times(server.phase));
             return work <= usual && in_flight == 0.0 && now - last >= gap;
         }
+        let (_, sent) = server.sent.within(now, window);
         // A small hint is often too small: a swarm of small ops pushes a server over as a few large ones do.
         sent + work.max(usual) <= budget && in_flight < self.part(server).max(1.0)
     }
@@ -632,16 +631,15 @@
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
     /// kept as a share of the time. By what the last push there took, or is usual now if that is longer; but
     /// never longer than ops live, or nobody would learn of the end of a jam.
-    fn rests_until(&self, server: &Server) -> At {
-        let own = self.own(server.group).map(|(_, place)| &self.servers[place]);
-        let last = own.max_by_key(|own| own.free_since).unwrap_or(server);
-        let held = self.usual_time(server.group).max(last.last_took);
-        last.free_since + self.rest(held, self.parts(server.group).max(self.part(server)))
+    fn rests_until(&self, group: usize) -> At {
+        let own = self.own(group).map(|(_, place)| &self.servers[place]);
+        let Some(last) = own.max_by_key(|own| own.free_since) else { return At(i64::MIN) };
+        let held = self.usual_time(group).max(last.last_took);
+        last.free_since + self.rest(held, self.parts(group))
     }
 
     fn rest(&self, held: Span, part: f64) -> Span {
-        let longest = self.terms.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO);
-        held.times((1.0 / part - 1.0).max(0.0)).min(longest)
+        held.times((1.0 / part - 1.0).max(0.0)).min(self.terms.longest_ttl())
     }
 
     fn part(&self, server: &Server) -> f64 {
@@ -734,9 +732,12 @@
         }
         let op = OpId(alarm.0 as u32);
         let Some(state) = self.ops.get(&op) else { return };
-        if state.queued && now < state.due {
+        if state.queued {
+            if now >= state.due {
+                return self.give_up(now, op);
+            }
             self.serve_queue(now);
-            if self.ops.get(&op).is_some_and(|state| state.queued) {
+            if self.ops[&op].queued {
                 self.wait(now, op);
             }
             return;
@@ -744,9 +745,6 @@
         if now < state.due || state.streaming {
             return;
         }
-        if state.queued {
-            return self.give_up(now, op);
-        }
         if self.may_push_again(now, op) && self.terms.second_copies {
             self.place(now, op);
         }
@@ -883,15 +881,13 @@
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
         state.due = state.target - Span::from_secs(pace * state.work);
-        let due = state.due;
+        let (due, benefit, target) = (state.due, state.benefit, state.target);
         // Nothing out and no rest over by then: no room will come free, and a quick nack beats a wait for it.
         if due <= now || self.out == 0 && self.rested_by(now, due) == 0 {
             return self.give_up(now, op);
         }
         self.wait(now, op);
-        let state = self.ops.get_mut(&op).expect("an op that waits is held");
-        state.queued = true;
-        let (benefit, target) = (state.benefit, state.target);
+        self.ops.get_mut(&op).expect("an op that waits is held").queued = true;
         let ahead = |other: &OpId| {
             let other = &self.ops[other];
             other.benefit.total_cmp(&benefit).reverse().then(other.target.cmp(&target)).is_le()
@@ -910,8 +906,8 @@
     }
 
     fn rests(&self, now: At) -> impl Iterator<Item = At> {
-        let own = (0..self.members.len()).flat_map(|group| self.own(group));
-        own.map(|(_, place)| self.rests_until(&self.servers[place])).filter(move |&until| until > now)
+        let of_own = |group| std::iter::repeat_n(self.rests_until(group), self.own(group).count());
+        (0..self.members.len()).flat_map(of_own).filter(move |&until| until > now)
     }
 
     fn rested_by(&self, now: At, due: At) -> usize {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -58,6 +58,10 @@
         &self.categories[usize::from(id.0)]
     }
 
+    pub fn longest_ttl(&self) -> Span {
+        self.categories.iter().map(|category| category.ttl).max().unwrap_or(Span::ZERO)
+    }
+
     /// One balancer's part of what all of them may do together.
     pub fn each(&self, together: f64) -> f64 {
         together / f64::from(self.balancers.max(1))
