Read the configuration again on SIGHUP and follow the list to its new address

Cause: no handler for SIGHUP (main.rs waits for SIGTERM and SIGINT only); the address of the list was read once, in list.rs call(). Change: the handler stands before anything is taken; the file is read whole first, a bad one is logged and the old kept; the list client drops its call and asks the new address for the whole list.

--- a/crates/balancer/src/given.rs
+++ b/crates/balancer/src/given.rs
@@ -1,9 +1,9 @@
-//! What a balancer is given at its start: one JSON file, read once. It owns the names at the edge (categories,
+//! What a balancer is given at its start: one JSON file, read whole before any of it is used. It owns the names at the edge (categories,
 //! tenants, zones, kinds) and must never pass one on as more than the place it stands at.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use doorproxy::facts::Facts;
@@ -64,11 +64,14 @@
 /// Fewer sockets than this leave no room for both sides.
 const LEAST_SOCKETS: usize = 64;
 
-pub fn read(path: Option<PathBuf>) -> Result<Arc<Given>, String> {
-    let path = path
+pub fn path(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    named
         .or_else(|| std::env::var_os("PROXY_CONFIG").map(PathBuf::from))
-        .ok_or("no configuration: give --config FILE or set PROXY_CONFIG")?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+        .ok_or_else(|| "no configuration: give --config FILE or set PROXY_CONFIG".to_string())
+}
+
+pub fn read(path: &Path) -> Result<Arc<Given>, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     decode(&text).map(Arc::new).map_err(|fault| format!("{}: {fault}", path.display()))
 }
 
--- a/crates/balancer/src/list.rs
+++ b/crates/balancer/src/list.rs
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Deserialize;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::clock::{Clock, duration};
@@ -79,7 +80,8 @@
     ids: BTreeMap<String, UpstreamId>,
     taken: BTreeSet<UpstreamId>,
     told: BTreeMap<UpstreamId, (Condition, SocketAddr)>,
-    version: u64,
+    /// None: the next call asks for the whole list.
+    version: Option<u64>,
     wait: Duration,
 }
 
@@ -92,14 +94,14 @@
             ids: BTreeMap::new(),
             taken: BTreeSet::new(),
             told: BTreeMap::new(),
-            version: 0,
+            version: None,
             wait: duration(wait),
         }
     }
 
     /// The rows as the decisions read them, and where each upstream listens.
     pub fn rows(&mut self, answer: &ListAnswer) -> (Vec<Listing>, Vec<SocketAddr>) {
-        self.version = answer.version;
+        self.version = Some(answer.version);
         answer.servers.iter().map(|line| (self.row(line), line.addr)).unzip()
     }
 
@@ -148,7 +150,13 @@
 }
 
 /// Keeps a watch open for as long as calls succeed; after one that failed, the decisions say when to go on.
-pub async fn follow(clock: Clock, mut list: List, facade: Facade, upstreams: Arc<Upstreams>) {
+pub async fn follow(
+    clock: Clock,
+    mut list: List,
+    facade: Facade,
+    upstreams: Arc<Upstreams>,
+    mut source: watch::Receiver<SocketAddr>,
+) {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(OVERDUE));
     connector.set_nodelay(true);
@@ -157,10 +165,23 @@
         .retry_canceled_requests(false)
         .build(connector);
     loop {
-        facade.watch_wanted().await;
+        tokio::select! {
+            () = facade.watch_wanted() => {}
+            Ok(()) = source.changed() => list.version = None,
+        }
         loop {
             let called = Instant::now();
-            match call(&client, &list).await {
+            let address = *source.borrow_and_update();
+            let answer = tokio::select! {
+                answer = call(&client, &list, address) => answer,
+                // Guards against a watch on a service that has been replaced: it may never tell anything again,
+                // and versions of the one mean nothing to the other.
+                Ok(()) = source.changed() => {
+                    list.version = None;
+                    continue;
+                }
+            };
+            match answer {
                 Ok(answer) => {
                     let (rows, addresses) = list.rows(&answer);
                     list.tell(&answer, &rows);
@@ -179,9 +200,15 @@
     }
 }
 
-async fn call(client: &Client<HttpConnector, Empty<Bytes>>, list: &List) -> Result<ListAnswer, String> {
-    let (after, wait) = (list.version, list.wait.as_millis());
-    let uri = format!("http://{}/api/targets?after={after}&wait_ms={wait}", list.given.discovery);
+async fn call(
+    client: &Client<HttpConnector, Empty<Bytes>>,
+    list: &List,
+    address: SocketAddr,
+) -> Result<ListAnswer, String> {
+    let mut uri = format!("http://{address}/api/targets");
+    if let Some(after) = list.version {
+        uri += &format!("?after={after}&wait_ms={}", list.wait.as_millis());
+    }
     let uri = uri.parse().map_err(|error| format!("{error}"))?;
     let exchange = async {
         let answer = client.get(uri).await.map_err(|error| error.to_string())?;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -1,5 +1,5 @@
-//! The command line of the balancer: it reads the configuration, puts the parts together and turns SIGTERM
-//! into an orderly end. It must never know what the parts do.
+//! The command line of the balancer: it reads the configuration, at the start and on SIGHUP, and puts the parts
+//! together. It must never know what the parts do.
 
 mod clock;
 mod endings;
@@ -9,6 +9,7 @@
 mod log;
 mod upstreams;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -16,10 +17,11 @@
 
 use argh::FromArgs;
 use doorproxy::facade::{Facade, News};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 
 use clock::Clock;
 use front::Front;
-use given::Given;
 use list::List;
 use upstreams::{Outlet, Upstreams};
 
@@ -38,7 +40,7 @@
     Version(Version),
 }
 
-/// Serve until SIGTERM, then finish what was taken.
+/// Serve until SIGTERM, then finish what was taken. SIGHUP reads the configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -68,9 +70,11 @@
     let Arguments { command } = argh::from_env();
     let done = match command {
         Command::Serve(Serve { config, grace_ms }) => {
-            given::read(config).and_then(|given| serve(given, Duration::from_millis(grace_ms)))
+            given::path(config).and_then(|config| serve(config, Duration::from_millis(grace_ms)))
         }
-        Command::Check(Check { config }) => given::read(config).map(|given| println!("{}", given.summary())),
+        Command::Check(Check { config }) => given::path(config)
+            .and_then(|config| given::read(&config))
+            .map(|given| println!("{}", given.summary())),
         Command::Version(Version {}) => {
             println!("doorproxy {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -85,7 +89,8 @@
     }
 }
 
-fn serve(given: Arc<Given>, grace: Duration) -> Result<(), String> {
+fn serve(config: PathBuf, grace: Duration) -> Result<(), String> {
+    let given = given::read(&config)?;
     // Guards against a balancer that runs on with decisions half made: restarted at once, it loses less. A log
     // that nobody reads any more is no reason to end.
     let print = std::panic::take_hook();
@@ -100,6 +105,8 @@
         .build()
         .map_err(|error| format!("the runtime could not start: {error}"))?;
     let served = runtime.block_on(async {
+        // Before anything else: unheeded, it ends the process.
+        let reloads = signal(SignalKind::hangup()).map_err(|error| format!("no signals: {error}"))?;
         let clock = Clock::start();
         // The rest is for the list, the log and what the runtime itself opens.
         let upstreams = Arc::new(Upstreams::new(clock, &given, given.sockets * 5 / 16));
@@ -111,10 +118,27 @@
         upstreams.follow(&rows, &addresses, true);
         facade.tick(clock.now(), News::Whole(&rows));
         tokio::spawn(clock::ring(clock, facade.clone()));
-        tokio::spawn(list::follow(clock, list, facade.clone(), upstreams.clone()));
+        let (source, of_list) = watch::channel(given.discovery);
+        tokio::spawn(list::follow(clock, list, facade.clone(), upstreams.clone(), of_list));
+        tokio::spawn(reload(config, reloads, source));
         let sockets = given.sockets * 10 / 16;
         front::serve(Front::new(clock, given, facade, upstreams, sockets, grace)).await
     });
     log::finish();
     served
 }
+
+/// On SIGHUP the list is taken from where the file now says. All else holds until the next start: ops in hand
+/// were taken under it.
+async fn reload(config: PathBuf, mut reloads: Signal, source: watch::Sender<SocketAddr>) {
+    while reloads.recv().await.is_some() {
+        match given::read(&config) {
+            Ok(given) => {
+                note!("configuration read again: the list is at {}", given.discovery);
+                source.send_if_modified(|known| std::mem::replace(known, given.discovery) != given.discovery);
+            }
+            // Guards against a file that is being replaced, or was spoilt: the old one has served so far.
+            Err(fault) => note!("configuration kept as it was: {fault}"),
+        }
+    }
+}
