Set a server aside only for failures beyond what its fellows lead to expect

Cause: note_ending in policy.rs set a server aside for any one error or reset, and each failed trial doubled the time. Ruled out: clients' side (no op turned away by the front, 0 in a count of nacks by who gave them), CPU (0.09 of a core), sockets. So failures are compared by how many fellows failed at all, and a refused connection still counts alone.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -22,7 +22,7 @@
     Key(u64),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct At(pub i64);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,17 +8,13 @@
 use crate::ids::{AlarmId, At, CategoryId, KindId, OpId, PushNo, Span, TenantId, UpstreamId};
 use crate::rng::{Pcg, mix};
 use crate::samples::Ring;
-use crate::state::{Figures, Op, Paces, Push, Sample, Server};
+use crate::state::{FLEET_SAMPLES, Figures, Measured, Op, Paces, Push, Sample, Server};
 use crate::terms::{Category, DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
 const MOST_PUSHES: usize = 3;
-/// Enough samples for a tenth to be told from a median, few enough to forget a trouble within seconds.
-const FLEET_SAMPLES: usize = 128;
 /// So many good answers in a row and earlier failures are forgotten: fewer would forget a server that flaps.
 const FORGETS_AFTER: u32 = 8;
-/// Paces of past rounds of fleet samples: long enough that a jam of a minute does not pass for usual.
-const FLOORS: usize = 128;
 /// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
 const HINTS: usize = 256;
 /// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
@@ -71,12 +67,8 @@
     ops: BTreeMap<OpId, Op>,
     /// Ops that no push may have run, best benefit first, then by target.
     queue: Vec<OpId>,
-    fleet: Ring<Sample, FLEET_SAMPLES>,
-    /// The median paces of each group, one for each round of fleet samples.
-    floors: Ring<(usize, f64), FLOORS>,
-    answers: usize,
+    measured: Measured,
     figures: Option<Figures>,
-    reckoned_at: At,
     /// What the weaker warm servers of each group bear for each unit of size, and when that was reckoned.
     borne: Vec<Option<f64>>,
     borne_at: Option<At>,
@@ -133,11 +125,8 @@
             places: BTreeMap::new(),
             ops: BTreeMap::new(),
             queue: Vec::new(),
-            fleet: Ring::default(),
-            floors: Ring::default(),
-            answers: 0,
+            measured: Measured::default(),
             figures: None,
-            reckoned_at: At(0),
             borne: Vec::new(),
             borne_at: None,
             full_at: None,
@@ -276,10 +265,7 @@
         let op = arrival.op;
         let ends = now + arrival.time_left;
         let target = (now + target).min(ends);
-        let pushes = Vec::with_capacity(1);
-        let op_state =
-            Op { arrival, work, target, ends, benefit, pushes, queued: false, streaming: false, due: now };
-        self.ops.insert(op, op_state);
+        self.ops.insert(op, Op::arrived(now, arrival, work, target, ends, benefit));
         if ends <= now {
             return self.give_up(now, op);
         }
@@ -509,27 +495,28 @@
 
     fn note_sample(&mut self, sample: Sample) {
         let now = sample.at;
-        self.fleet.put(sample);
-        self.answers += 1;
+        self.measured.fleet.put(sample);
+        self.measured.answers += 1;
         // Guards against going by what was usual before a trouble: where balancers are many the last samples
         // reach back half a minute, but no op that is still held is older than the longest TTL.
         let oldest = self.terms.longest_ttl();
-        while self.fleet.len() > SERVER_SAMPLES && self.fleet.oldest().is_some_and(|of| now - of.at > oldest)
+        while self.measured.fleet.len() > SERVER_SAMPLES
+            && self.measured.fleet.oldest().is_some_and(|of| now - of.at > oldest)
         {
-            self.fleet.drop_oldest();
+            self.measured.fleet.drop_oldest();
         }
-        if self.answers > ANSWERS_BETWEEN_FIGURES
-            && !self.answers.is_multiple_of(ANSWERS_BETWEEN_FIGURES)
-            && now - self.reckoned_at < self.median()
+        if self.measured.answers > ANSWERS_BETWEEN_FIGURES
+            && !self.measured.answers.is_multiple_of(ANSWERS_BETWEEN_FIGURES)
+            && now - self.measured.reckoned_at < self.median()
         {
             return;
         }
-        self.reckoned_at = now;
+        self.measured.reckoned_at = now;
         // The first answers too: if a jam follows the start, they alone tell of a time without one.
-        let is_round =
-            self.answers == ANSWERS_BETWEEN_FIGURES || self.answers.is_multiple_of(FLEET_SAMPLES / 2);
+        let is_round = self.measured.answers == ANSWERS_BETWEEN_FIGURES
+            || self.measured.answers.is_multiple_of(FLEET_SAMPLES / 2);
         let groups = self.table.kinds.len();
-        let figures = Figures::reckon(&self.fleet, &mut self.floors, &self.hints, groups, is_round);
+        let figures = Figures::reckon(&mut self.measured, &self.hints, groups, is_round);
         self.figures = Some(figures);
     }
 
@@ -790,11 +777,10 @@
     fn note_ending(&mut self, now: At, place: usize, end: &PushEnd) {
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
-            Ending::Error => self.set_aside(now, place, Span::ZERO, "an error"),
+            Ending::Error => self.note_failure(now, place, "an error"),
             Ending::Full => self.cut_limit(now, place, end.took),
-            Ending::ConnectFailed | Ending::Reset => {
-                self.set_aside(now, place, Span::ZERO, "its connection failed")
-            }
+            Ending::Reset => self.note_failure(now, place, "its connection broke"),
+            Ending::ConnectFailed => self.set_aside(now, place, Span::ZERO, "its connection failed"),
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
                     self.sample(now, place, end);
@@ -809,6 +795,18 @@
         }
     }
 
+    /// Guards against doubting all servers in turn where some ops fail on any of them, by spoilt answers say:
+    /// one is set aside for more failures than its fellows lead to expect. By how many of those failed at all,
+    /// or a few that are ill would excuse each other.
+    fn note_failure(&mut self, now: At, place: usize, why: &str) {
+        self.measured.endings.put((now, place, true));
+        let (own, fellows, failing) = self.measured.failures(now - self.terms.longest_ttl(), place);
+        let expected = -(1.0 - failing / fellows.max(1.0)).max(0.5 / fellows.max(1.0)).ln();
+        if own > ILL_MULTIPLE * expected {
+            self.set_aside(now, place, Span::ZERO, why);
+        }
+    }
+
     /// What took until the end counts as well: guards against a jam that looks like quick answers, since only
     /// the quick ones come back.
     fn sample(&mut self, now: At, place: usize, end: &PushEnd) -> Option<f64> {
@@ -820,6 +818,7 @@
     }
 
     fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
+        self.measured.endings.put((now, place, false));
         let Some(work) = self.sample(now, place, end) else { return };
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
@@ -833,7 +832,7 @@
                 self.doubted.retain(|&doubted| doubted != place);
             }
         }
-        let own = self.fleet.iter().rev().filter(|of| of.server == place).take(SERVER_SAMPLES);
+        let own = self.measured.fleet.iter().rev().filter(|of| of.server == place).take(SERVER_SAMPLES);
         let sums = own.fold((0.0, 0.0), |sums, of| (sums.0 + of.took.secs(), sums.1 + of.explained));
         if sums.0 > CROWDED * sums.1 {
             return self.cut_limit(now, place, end.took);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,7 @@
 //! What a balancer keeps of its servers and ops; every decision that reads or changes it is in [`crate::policy`].
 
+use std::collections::BTreeMap;
+
 use crate::host::{Condition, Listing, OpArrival};
 use crate::ids::{At, CellId, Span, UpstreamId, ZoneId};
 use crate::samples::{Ring, Work};
@@ -17,6 +19,39 @@
     pub explained: f64,
 }
 
+/// Enough samples for a tenth to be told from a median, few enough to forget a trouble within seconds.
+pub const FLEET_SAMPLES: usize = 128;
+/// Paces of past rounds of fleet samples: long enough that a jam of a minute does not pass for usual.
+const FLOORS: usize = 128;
+
+/// The last of what was measured, as it came.
+#[derive(Default)]
+pub struct Measured {
+    pub fleet: Ring<Sample, FLEET_SAMPLES>,
+    /// Which of the last pushes failed, and where: enough that a rare failure is seen at more than one server.
+    pub endings: Ring<(At, usize, bool), 512>,
+    /// The median paces of each group, one for each round of fleet samples.
+    pub floors: Ring<(usize, f64), FLOORS>,
+    pub answers: usize,
+    pub reckoned_at: At,
+}
+
+impl Measured {
+    /// How many pushes failed at this server since then, how many others were heard of, and at how many of
+    /// those any failed.
+    pub fn failures(&self, since: At, server: usize) -> (f64, f64, f64) {
+        let (mut own, mut fellows) = (0.0, BTreeMap::new());
+        for &(_, at, failed) in self.endings.iter().rev().take_while(|(at, ..)| *at >= since) {
+            if at == server {
+                own += f64::from(u8::from(failed));
+            } else {
+                *fellows.entry(at).or_insert(false) |= failed;
+            }
+        }
+        (own, fellows.len() as f64, fellows.values().filter(|failed| **failed).count() as f64)
+    }
+}
+
 /// What the last samples say, of all servers and of each group.
 pub struct Figures {
     pub median: Span,
@@ -91,6 +126,13 @@
     pub due: At,
 }
 
+impl Op {
+    pub fn arrived(now: At, arrival: OpArrival, work: f64, target: At, ends: At, benefit: f64) -> Op {
+        let pushes = Vec::with_capacity(1);
+        Op { arrival, work, target, ends, benefit, pushes, queued: false, streaming: false, due: now }
+    }
+}
+
 impl Server {
     pub fn listed(now: At, row: &Listing, group: usize, limit: f64) -> Server {
         Server {
@@ -124,13 +166,13 @@
 
 impl Figures {
     /// Floors take the median pace of each group once a round.
-    pub fn reckon<const N: usize, const M: usize, const H: usize>(
-        samples: &Ring<Sample, N>,
-        floors: &mut Ring<(usize, f64), M>,
+    pub fn reckon<const H: usize>(
+        measured: &mut Measured,
         hints: &Ring<f64, H>,
         groups: usize,
         is_round: bool,
     ) -> Figures {
+        let Measured { fleet: samples, floors, .. } = measured;
         let took = |part| Span::from_secs(samples.quantile(part, |of| Some(of.took.secs())).unwrap_or(0.0));
         let mut of_group = |group| {
             let median = samples.quantile(0.5, |of| (of.group == group).then_some(of.pace));
