Look at clients' bytes before the library does, with a budget for each stage

Seen by reading: hyper drops a Content-Length beside Transfer-Encoding in silence and takes the same length twice, so an op could hide in a body; heads had 60 s and bodies 10 s where 3 s are owed; the id of an op in hand was taken again; an oversized body was refused and the connection closed over unread bytes, which resets it. Lines at fault: converse() and read() in front.rs left framing to the library; close_longest_idle() let a silent connection stay and sent away a usual one. Change: heads.rs holds a head until it is whole and looks at it (httparse): lengths, pieces, size; faults are answered by the connection's own last word, which reads out some of what still comes. An op has 2 s from its first byte, or from the connection for its first; idle connections 10 s; those that never brought an op go first. An id in hand is answered 409. Nothing behind an op in pieces is read.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -1,12 +1,12 @@
 //! The side of the clients: it accepts connections, reads ops, and gives each its one final answer. It owns the
-//! clients' connections, how many there may be, and the orderly end. It must never choose an upstream, answer an
+//! clients' connections, how many there may be and how long they may take, and the orderly end. It must never choose an upstream, answer an
 //! op that the decisions hold by its own choice, or hand them one that it could not read whole.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use axum::Router;
@@ -18,12 +18,12 @@
 use axum::routing::get;
 use bytes::Bytes;
 use doorproxy::facade::{Facade, NewOp, Next, Push};
-use doorproxy::ids::{CategoryId, Key, OpId, Span, TenantId};
+use doorproxy::ids::{At, CategoryId, Key, OpId, Span, TenantId};
 use doorproxy::rng::mix_text;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -33,6 +33,7 @@
 use crate::clock::{Clock, duration};
 use crate::endings::PushEnding;
 use crate::given::Given;
+use crate::heads::{Fault, Heads, LARGEST_HEAD};
 use crate::note;
 use crate::upstreams::{BodyFault, LARGEST_BODY, Outgoing, TIME_LEFT, Upstreams, end_to_end, held_whole};
 
@@ -47,12 +48,16 @@
 const MARGIN: Span = Span(200);
 /// An op that the decisions have not answered so long after its time is answered here, as a last resort.
 const OVERDUE: Span = Span(100);
-/// A connection that stands open without an op is closed after this; the client opens another.
-const IDLE: Duration = Duration::from_secs(60);
-/// A body that takes longer is given up on: what is not whole is not taken.
-const SLOWEST_BODY: Duration = Duration::from_secs(10);
+/// A connection that stands open between ops is closed after this; the client opens another.
+const IDLE: Span = Span(100_000);
+/// From its first byte to its last, or from the connection where that brings its first op: what is not whole by
+/// then is not taken.
+const SLOWEST_OP: Span = Span(20_000);
 /// What a connection that is to close may still take to flush its last answer.
 const LINGER: Span = Span(1000);
+/// What a client still sends when it is turned away is read so far: closing over it would reset the connection,
+/// and the answer be lost with it.
+const MOST_UNREAD: usize = 256 << 10;
 /// Connections still come for so long after SIGTERM: whoever sends them learns of it late.
 const STILL_COMING: Duration = Duration::from_millis(700);
 const BACKLOG: u32 = 1024;
@@ -67,17 +72,83 @@
     /// When it was asked to end.
     asked: watch::Sender<Option<Instant>>,
     clients: Mutex<BTreeMap<u64, Arc<Connection>>>,
+    /// Ids of the ops in hand.
+    open: Mutex<BTreeSet<String>>,
     freed: Notify,
 }
 
 /// One connection of a client.
-struct Connection {
-    /// One that was read whole and is not answered yet.
-    has_op: AtomicBool,
-    idle_since: AtomicI64,
+pub struct Connection {
+    clock: Clock,
+    stage: Mutex<Stage>,
+    /// The library has a head whose answer it has not been given yet.
+    owes_answer: AtomicBool,
+    /// Nothing behind the op that is coming will be read.
+    is_last: AtomicBool,
+    fault: Mutex<Option<Fault>>,
     close: Notify,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Since then no op has come whole, and none before it.
+    New(At),
+    Idle(At),
+    /// The first byte of an op came then.
+    Coming(At),
+    /// An op was read whole and is not answered yet.
+    Held,
+    /// Told to close: not chosen again.
+    Closing,
+}
+
+impl Connection {
+    fn stage(&self) -> MutexGuard<'_, Stage> {
+        self.stage.lock().expect("no panic while a stage is held")
+    }
+
+    pub fn begins_answer(&self, is_last: bool) {
+        self.owes_answer.store(true, Ordering::Relaxed);
+        self.is_last.fetch_or(is_last, Ordering::Relaxed);
+    }
+
+    pub fn owes_answer(&self) -> bool {
+        self.owes_answer.load(Ordering::Relaxed)
+    }
+
+    fn has_op(&self) -> bool {
+        *self.stage() == Stage::Held
+    }
+
+    /// A byte of an op has come.
+    pub fn begins(&self) {
+        let mut stage = self.stage();
+        match *stage {
+            Stage::New(at) => *stage = Stage::Coming(at),
+            Stage::Idle(_) => *stage = Stage::Coming(self.clock.now()),
+            _ => {}
+        }
+    }
+
+    fn rests(&self) {
+        *self.stage() = Stage::Idle(self.clock.now());
+    }
+
+    /// It is read no further, and told why once the library has let go of it.
+    pub fn turn_away(&self, fault: Fault) {
+        *self.fault.lock().expect("no panic while a fault is held") = Some(fault);
+    }
+
+    /// When its time is up, unless it moves on.
+    fn due(&self) -> At {
+        match *self.stage() {
+            Stage::New(at) | Stage::Coming(at) => at + SLOWEST_OP,
+            Stage::Idle(at) => at + IDLE,
+            Stage::Held | Stage::Closing => self.clock.now() + SLOWEST_OP,
+        }
+    }
+}
+
 impl Front {
     pub fn new(
         clock: Clock,
@@ -96,14 +167,19 @@
             grace,
             asked: watch::Sender::new(None),
             clients: Mutex::default(),
+            open: Mutex::default(),
             freed: Notify::new(),
         })
     }
 
-    fn clients(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, Arc<Connection>>> {
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Connection>>> {
         self.clients.lock().expect("no panic while the connections are held")
     }
 
+    fn open(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.open.lock().expect("no panic while the ids are held")
+    }
+
     fn is_draining(&self) -> bool {
         self.asked.borrow().is_some()
     }
@@ -119,17 +195,18 @@
     }
 
     /// Frees a socket before there is none: the connection that has been without an op for longest has to go,
-    /// be it in the midst of a slow one. One that has only just come is about to be used.
+    /// be it in the midst of a slow one. One that has only just come is about to be used, but after that those
+    /// that never brought an op go before those that did: hundreds may connect and say nothing.
     fn close_longest_idle(&self) {
         let clients = self.clients();
-        let before = (self.clock.now() - LINGER).0;
-        let idle = clients.values().filter_map(|client| {
-            let since = client.idle_since.load(Ordering::Relaxed);
-            (!client.has_op.load(Ordering::Relaxed) && since < before).then_some((since, client))
+        let before = self.clock.now() - LINGER;
+        let idle = clients.values().filter_map(|client| match *client.stage() {
+            Stage::New(since) | Stage::Coming(since) if since < before => Some((since - SLOWEST_OP, client)),
+            Stage::Idle(since) if since < before => Some((since, client)),
+            _ => None,
         });
         if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
-            // Not chosen again while it is closing.
-            client.idle_since.store(i64::MAX, Ordering::Relaxed);
+            *client.stage() = Stage::Closing;
             client.close.notify_one();
         }
     }
@@ -142,14 +219,13 @@
     /// unseen in the backlog while their time runs out.
     fn turns_away(&self) -> bool {
         let clients = self.clients();
-        let busy = |client: &&Arc<Connection>| client.has_op.load(Ordering::Relaxed);
-        clients.len() > self.most && clients.values().filter(busy).count() >= self.most
+        clients.len() > self.most && clients.values().filter(|client| client.has_op()).count() >= self.most
     }
 
     /// An op whose fields can't be read is the client's fault, which a nack would invite it to repeat.
     fn new_op(&self, headers: &HeaderMap) -> Result<NewOp, String> {
         // Upstreams know an op by it, and one that has none would pass for an upstream's fault.
-        text(headers, &ID)?.filter(|id| !id.is_empty()).ok_or_else(|| format!("no {ID}"))?;
+        text(headers, &ID)?.ok_or_else(|| format!("no {ID}"))?;
         let category = text(headers, &CATEGORY)?.ok_or_else(|| format!("no {CATEGORY}"))?;
         let category = self.given.categories.get(category).ok_or_else(|| format!("unknown {CATEGORY}"))?;
         let tenant = match text(headers, &TENANT)? {
@@ -201,7 +277,8 @@
     if values.next().is_some() {
         return Err(format!("{name} more than once"));
     }
-    value.to_str().map(Some).map_err(|_| format!("{name} in ASCII expected"))
+    let value = value.to_str().map_err(|_| format!("{name} in ASCII expected"))?;
+    Ok(Some(value).filter(|value| !value.is_empty()))
 }
 
 /// An op in hand. Tells the decisions that its client has gone, if its handling ends before its answer.
@@ -209,14 +286,14 @@
     front: &'a Front,
     client: Arc<Connection>,
     op: OpId,
+    id: String,
 }
 
 impl Drop for Taken<'_> {
     fn drop(&mut self) {
-        let now = self.front.clock.now();
-        self.front.facade.report_gone(now, self.op);
-        self.client.idle_since.store(now.0, Ordering::Relaxed);
-        self.client.has_op.store(false, Ordering::Relaxed);
+        self.front.facade.report_gone(self.front.clock.now(), self.op);
+        self.front.open().remove(&self.id);
+        self.client.rests();
     }
 }
 
@@ -251,13 +328,12 @@
     if head.method == Method::CONNECT || !head.uri.path().starts_with('/') {
         return Err(bad("a path that begins with / expected, and no CONNECT".to_string()));
     }
-    match tokio::time::timeout(SLOWEST_BODY, held_whole(body)).await {
-        Ok(Ok(body)) => Ok((new, head, body)),
-        Ok(Err(BodyFault::TooLarge)) => {
+    match held_whole(body).await {
+        Ok(body) => Ok((new, head, body)),
+        Err(BodyFault::TooLarge) => {
             Err((StatusCode::PAYLOAD_TOO_LARGE, format!("at most {LARGEST_BODY} bytes are taken")))
         }
-        Ok(Err(BodyFault::Broken)) => Err(bad("the body broke off".to_string())),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time".to_string())),
+        Err(BodyFault::Broken) => Err(bad("the body broke off".to_string())),
     }
 }
 
@@ -269,6 +345,11 @@
     head: Parts,
     body: Bytes,
 ) -> Response {
+    let id = head.headers.get(ID).and_then(|id| id.to_str().ok()).unwrap_or_default().to_string();
+    // Guards against two pushes of one id at an upstream, which would pass for one op made twice.
+    if !front.open().insert(id.clone()) {
+        return (StatusCode::CONFLICT, format!("an op with this {ID} is in hand\n")).into_response();
+    }
     // An op's time counts from its last byte.
     let now = front.clock.now();
     new.time_left = Span((new.time_left.0 - MARGIN.0).max(0));
@@ -277,8 +358,8 @@
     let out_of_grace = front.out_of_grace();
     tokio::pin!(overdue, out_of_grace);
     let op = front.facade.take(now, new);
-    client.has_op.store(true, Ordering::Relaxed);
-    let _taken = Taken { front, client, op };
+    *client.stage() = Stage::Held;
+    let _taken = Taken { front, client, op, id };
     let (answered, mut answers) = mpsc::channel(1);
     loop {
         tokio::select! {
@@ -400,8 +481,11 @@
         front.close_longest_idle();
     }
     let client = Arc::new(Connection {
-        has_op: AtomicBool::new(false),
-        idle_since: AtomicI64::new(front.clock.now().0),
+        clock: front.clock,
+        stage: Mutex::new(Stage::New(front.clock.now())),
+        owes_answer: AtomicBool::new(false),
+        is_last: AtomicBool::new(false),
+        fault: Mutex::default(),
         close: Notify::new(),
     });
     let number = *next;
@@ -417,32 +501,81 @@
 
 async fn converse(router: Router, stream: TcpStream, client: &Arc<Connection>) {
     let _ = stream.set_nodelay(true);
+    let stream = Arc::new(stream);
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(client.clone());
-        router.clone().call(request.map(Body::new))
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
-        .preserve_header_case(true)
-        .max_buf_size(LARGEST_BODY)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    // How a client's connection ends is the client's affair: its ops have been seen to.
-    loop {
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => return,
-            () = client.close.notified() => connection.as_mut().graceful_shutdown(),
-        }
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => return,
-            () = tokio::time::sleep(duration(LINGER)) => {}
+        let answer = router.clone().call(request.map(Body::new));
+        async move {
+            let mut answer = answer.await;
+            client.rests();
+            client.owes_answer.store(false, Ordering::Relaxed);
+            if let Ok(answer) = &mut answer
+                && client.is_last.load(Ordering::Relaxed)
+            {
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            answer
         }
-        // Guards against a client that reads nothing, or never begins what it opened the connection for.
-        if !client.has_op.load(Ordering::Relaxed) {
-            return;
+    });
+    {
+        let connection = http1::Builder::new()
+            .preserve_header_case(true)
+            .max_buf_size(LARGEST_HEAD)
+            .serve_connection(Heads::new(stream.clone(), client.clone()), service);
+        tokio::pin!(connection);
+        // How a client's connection ends is the client's affair: its ops have been seen to.
+        loop {
+            let due = client.due();
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => break,
+                () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = tokio::time::sleep(client.clock.until(due)) => {
+                    if client.due() > client.clock.now() {
+                        continue;
+                    }
+                    // Guards against clients that say nothing, or never come to an end of it.
+                    if matches!(*client.stage(), Stage::Coming(_)) {
+                        client.turn_away((StatusCode::REQUEST_TIMEOUT, "the op did not come in time"));
+                    }
+                    break;
+                }
+            }
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => break,
+                () = tokio::time::sleep(duration(LINGER)) => {}
+            }
+            // Guards against a client that reads nothing, or never begins what it opened the connection for.
+            if !client.has_op() {
+                break;
+            }
         }
     }
+    part(&stream, client).await;
+}
+
+/// The last word on a connection that the library has let go of.
+async fn part(stream: &TcpStream, client: &Connection) {
+    let fault = client.fault.lock().expect("no panic while a fault is held").take();
+    if let Some((status, fault)) = fault {
+        let length = fault.len() + 1;
+        let answer =
+            format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{fault}\n");
+        // It is the first thing written for a while: what does not fit would not be read either.
+        let _ = stream.try_write(answer.as_bytes());
+    }
+    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    let read_out = async {
+        let (mut bytes, mut unread) = ([0; 4096], 0);
+        while unread < MOST_UNREAD && stream.readable().await.is_ok() {
+            match stream.try_read(&mut bytes) {
+                Ok(0) => return,
+                Ok(read) => unread += read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(duration(LINGER), read_out).await;
 }
--- /dev/null
+++ b/crates/balancer/src/heads.rs
@@ -0,0 +1,194 @@
+//! The bytes of a client before the library reads them: heads are looked at whole, and what is framed in a way that
+//! could be read in two is turned away here. It owns the reading side of a client's connection. It must never pass
+//! on a byte of an op whose length is in doubt, or end a connection under an op in hand.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use axum::http::StatusCode;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::net::TcpStream;
+
+use crate::front::Connection;
+use crate::upstreams::LARGEST_BODY;
+
+/// Larger than any head in use; what grows beyond it is read no further.
+pub const LARGEST_HEAD: usize = 16 << 10;
+const MOST_FIELDS: usize = 64;
+
+/// Why a client's bytes are read no further, as it is told.
+pub type Fault = (StatusCode, &'static str);
+
+const BAD: StatusCode = StatusCode::BAD_REQUEST;
+
+pub struct Heads {
+    stream: Arc<TcpStream>,
+    client: Arc<Connection>,
+    /// Bytes that came and are not passed on yet: a head that is not whole, or what follows one.
+    held: Vec<u8>,
+    next: Next,
+}
+
+/// What the next bytes are.
+enum Next {
+    Head,
+    /// So many bytes of a head or body that was looked at.
+    Passing(usize),
+    /// Pieces whose end only the library sees: nothing behind them is an op any more.
+    Pieces,
+}
+
+impl Heads {
+    pub fn new(stream: Arc<TcpStream>, client: Arc<Connection>) -> Heads {
+        Heads { stream, client, held: Vec::new(), next: Next::Head }
+    }
+
+    fn poll_more(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
+        let mut bytes = [0; 4096];
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(&mut bytes) {
+                Ok(read) => {
+                    self.held.extend_from_slice(&bytes[..read]);
+                    return Poll::Ready(Ok(read));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    fn pass(&mut self, most: usize, into: &mut ReadBufCursor) -> usize {
+        let passed = most.min(self.held.len()).min(into.remaining());
+        into.put_slice(&self.held[..passed]);
+        self.held.drain(..passed);
+        if self.held.is_empty() {
+            // Most connections stand idle for most of the time, and their number times a buffer is what counts.
+            self.held = Vec::new();
+        }
+        passed
+    }
+}
+
+impl Read for Heads {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut into: ReadBufCursor) -> Poll<io::Result<()>> {
+        let heads = self.get_mut();
+        loop {
+            match heads.next {
+                Next::Head => {
+                    if !heads.held.is_empty() {
+                        heads.client.begins();
+                    }
+                    match look_at(&heads.held) {
+                        Ok(Some(next)) => {
+                            heads.client.begins_answer(matches!(next, Next::Pieces));
+                            heads.next = next;
+                        }
+                        Ok(None) => {
+                            if ready!(heads.poll_more(cx))? == 0 {
+                                return Poll::Ready(Ok(()));
+                            }
+                        }
+                        // To the library the connection ends here, and with it what it was to answer first.
+                        Err(_) if heads.client.owes_answer() => return Poll::Pending,
+                        Err(fault) => {
+                            heads.client.turn_away(fault);
+                            return Poll::Ready(Ok(()));
+                        }
+                    }
+                }
+                Next::Passing(0) => heads.next = Next::Head,
+                Next::Passing(left) => {
+                    if heads.held.is_empty() && ready!(heads.poll_more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    heads.next = Next::Passing(left - heads.pass(left, &mut into));
+                    return Poll::Ready(Ok(()));
+                }
+                Next::Pieces => {
+                    if heads.held.is_empty() && ready!(heads.poll_more(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    heads.pass(usize::MAX, &mut into);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+/// What follows, once the head is whole: the head itself with its body, if its framing leaves no doubt. Guards
+/// against an op hidden in the body of another, which the library would pass over in silence.
+fn look_at(held: &[u8]) -> Result<Option<Next>, Fault> {
+    if held.is_empty() {
+        return Ok(None);
+    }
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let length = match head.parse(held) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if held.len() < LARGEST_HEAD => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err((StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large"));
+        }
+        Err(_) => return Err((BAD, "this is no HTTP/1.1 head")),
+    };
+    let (mut body, mut pieces) = (None, false);
+    for field in &*head.headers {
+        let is = |name: &str| field.name.eq_ignore_ascii_case(name);
+        if is("transfer-encoding") {
+            if pieces || head.version != Some(1) || !field.value.eq_ignore_ascii_case(b"chunked") {
+                return Err((BAD, "a transfer-encoding other than chunked, once"));
+            }
+            pieces = true;
+        } else if is("content-length") {
+            let digits = std::str::from_utf8(field.value).ok().filter(|text| {
+                body.is_none() && !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+            });
+            let digits = digits.ok_or((BAD, "a content-length other than whole digits, once"))?;
+            // What does not even fit is too large as well.
+            body = Some(digits.parse().unwrap_or(usize::MAX));
+        }
+    }
+    match body {
+        Some(_) if pieces => Err((BAD, "both a content-length and a transfer-encoding")),
+        Some(body) if body > LARGEST_BODY => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")),
+        _ if pieces => Ok(Some(Next::Pieces)),
+        _ => Ok(Some(Next::Passing(length + body.unwrap_or(0)))),
+    }
+}
+
+impl Write for Heads {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        // Left to whoever has the last word on the connection.
+        Poll::Ready(Ok(()))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        bytes: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -5,6 +5,7 @@
 mod endings;
 mod front;
 mod given;
+mod heads;
 mod list;
 mod log;
 mod upstreams;
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -261,7 +261,7 @@
         A: POST //buy/./it HTTP/1.1 id 2 body "one"
         client: 200 "well", x-kept as it came
         A: PUT / HTTP/1.1 id 3 body "in pieces"
-        client: 200 "well", x-kept as it came
+        client: 200 "well", connection close, x-kept as it came
     "#]]);
 }
 
@@ -340,12 +340,25 @@
         ("CONNECT / HTTP/1.1", good.clone(), ""),
         ("POST / HTTP/1.1", format!("{good}Content-Length: 70000\r\n"), "it begins"),
         ("GET / HTTP/1.1", format!("{good}Content-Length: many\r\n"), ""),
+        ("GET / HTTP/1.1", format!("{good}Content-Length: +1\r\n"), "1"),
+        ("GET / HTTP/1.1", format!("{good}Content-Length: 1\r\nContent-Length: 1\r\n"), "1"),
+        ("GET / HTTP/1.1", format!("{good}Transfer-Encoding: gzip, chunked\r\n"), "0\r\n\r\n"),
+        ("GET / HTTP/1.1", format!("{good}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), "0\r\n\r\n"),
+        ("GET / HTTP/1.1", format!("{good}X: {}", "x".repeat(20_000)), ""),
         ("NONSENSE", String::new(), ""),
     ];
     for (start, fields, body) in bad {
         Client::new(&balancer).send(&format!("{start}\r\n{fields}\r\n{body}")).answer(&trace);
     }
-    Client::new(&balancer).get("/", "2").answer(&trace);
+    // The second op hides behind pieces, and what is wrong with it may not cost the first its answer.
+    let mut client = Client::new(&balancer);
+    client.send(&format!("POST / HTTP/1.1\r\n{}Transfer-Encoding: chunked\r\n\r\n", fields("2", "buy")));
+    client.send(&format!("0\r\n\r\nGET /hidden HTTP/1.1\r\n{}\r\n", fields("3", "look")));
+    client.answer(&trace);
+    client.answer(&trace);
+    client = Client::new(&balancer);
+    client.send(&format!("GET / HTTP/1.1\r\n{}\r\nNONSENSE\r\n\r\n", fields("4", "look"))).answer(&trace);
+    client.answer(&trace);
     trace.check(expect![[r#"
         client: 400 "no req-id"
         client: 400 "unknown req-kind"
@@ -356,11 +369,53 @@
         client: 400 "req-kind more than once"
         client: 400 "a path that begins with / expected, and no CONNECT"
         client: 400 "a path that begins with / expected, and no CONNECT"
-        client: 413 "at most 65536 bytes are taken"
-        client: 400 "", connection close
-        client: 400 "", connection close
-        A: GET / HTTP/1.1 id 2 body ""
+        client: 413 "the body is too large", connection close
+        client: 400 "a content-length other than whole digits, once", connection close
+        client: 400 "a content-length other than whole digits, once", connection close
+        client: 400 "a content-length other than whole digits, once", connection close
+        client: 400 "a transfer-encoding other than chunked, once", connection close
+        client: 400 "both a content-length and a transfer-encoding", connection close
+        client: 431 "the head is too large", connection close
+        client: 400 "this is no HTTP/1.1 head", connection close
+        A: POST / HTTP/1.1 id 2 body ""
+        client: 200 "well", connection close, x-kept as it came
+        client: connection ended
+        A: GET / HTTP/1.1 id 4 body ""
+        client: 200 "well", x-kept as it came
+        client: 400 "this is no HTTP/1.1 head", connection close
+    "#]]);
+}
+
+/// Guards against two pushes of one id, and against clients that hold a connection and say nothing, or half.
+#[test]
+fn an_id_in_hand_is_taken_once_and_those_who_say_nothing_are_sent_away() {
+    let trace = Trace::default();
+    let balancer = start(&[line("a", upstream("A", &trace), "active")]);
+    let (mut silent, mut half) = (Client::new(&balancer), Client::new(&balancer));
+    half.send("GET / HTTP/1.1\r\n");
+    let mut held = Client::new(&balancer);
+    held.get("/slow", "1");
+    trace.wait_for("A: GET /slow HTTP/1.1 id 1 body \"\"");
+    Client::new(&balancer).buy("/", "1").answer(&trace);
+    trace.line("go on");
+    held.answer(&trace);
+    held.buy("/", "1").answer(&trace);
+    silent.answer(&trace);
+    half.answer(&trace);
+    // Refused unread: the answer must not be lost to what is still being sent.
+    let mut large = Client::new(&balancer);
+    large.send(&format!("POST / HTTP/1.1\r\n{}Content-Length: 99999999\r\n\r\n", fields("2", "buy")));
+    large.send(&"x".repeat(100_000)).answer(&trace);
+    trace.check(expect![[r#"
+        A: GET /slow HTTP/1.1 id 1 body ""
+        client: 409 "an op with this req-id is in hand"
+        go on
+        client: 200 "slow"
+        A: POST / HTTP/1.1 id 1 body "one"
         client: 200 "well", x-kept as it came
+        client: connection ended
+        client: 408 "the op did not come in time", connection close
+        client: 413 "the body is too large", connection close
     "#]]);
 }
 
