Push ops that lose least to doubted servers where no other has room

Lines at fault: choose() in policy.rs used a doubted server only for trials, or when all were doubted. Ruled out: stale connections (logged pushes break as often on new ones, after 10 to 250 ms of work), the list, sockets. Change: an op of the category that loses least goes to the least loaded doubted server that is neither silent nor refused the last connection, when nothing else has room.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -369,14 +369,16 @@
         let found = self.draw(now, op, salt, home);
         let found = found.or_else(|| if home == DEFAULT { None } else { self.draw(now, op, salt, DEFAULT) });
         let found = found.or_else(|| self.draw(now, op, salt, all));
-        // Guards against answering nobody while every server is doubted: then the doubt tells nothing.
-        let doubted = |&(_, place): &(u64, usize)| self.servers[place].to_prove > 0;
+        // Guards against answering nobody while every server is doubted: then the doubt tells nothing. And
+        // against nacks of ops that lose least by a failure while a server that fails some is idle.
+        let doubted = |place: usize| self.servers[place].to_prove > 0;
         let found = found.or_else(|| {
             let ready = self.members.iter().flatten();
-            if !ready.clone().all(doubted) {
-                return None;
-            }
-            let open = ready.filter(|(_, place)| self.may_get(now, op, *place));
+            let all_doubted = ready.clone().all(|&(_, place)| doubted(place));
+            let comes_back = |server: &Server| !server.refuses && !self.is_silent(now, server);
+            let may_risk = |place| self.may_try_out(op) && doubted(place) && comes_back(&self.servers[place]);
+            let open = ready.filter(|&&(_, place)| all_doubted || may_risk(place));
+            let open = open.filter(|(_, place)| self.may_get(now, op, *place));
             let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
             least.map(|&(_, place)| place)
         });
@@ -748,6 +750,7 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         let answered = !matches!(end.ending, Ending::Cancelled | Ending::TimedOut | Ending::NeverSent);
         if answered {
+            server.refuses = end.ending == Ending::ConnectFailed;
             server.owes_since = None;
             self.answered_at = Some(now);
         }
@@ -796,7 +799,7 @@
     }
 
     /// Guards against doubting all servers in turn where some ops fail on any of them, by spoilt answers say:
-    /// one is set aside for more failures than its fellows lead to expect. By how many of those failed at all,
+    /// one is set aside for more failures than its fellows lead to expect. By how many of them failed at all,
     /// or a few that are ill would excuse each other.
     fn note_failure(&mut self, now: At, place: usize, why: &str) {
         self.measured.endings.put((now, place, true));
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,8 @@
     pub cut_at: At,
     pub cut: bool,
     pub good_in_a_row: u32,
+    /// The last thing heard was that no connection came up.
+    pub refuses: bool,
     /// Since when it owes an answer and has given none, and the largest work it got in that time.
     pub owes_since: Option<At>,
     pub owed_work: f64,
@@ -149,6 +151,7 @@
             cut_at: now,
             cut: false,
             good_in_a_row: 0,
+            refuses: false,
             owes_since: None,
             owed_work: 0.0,
             to_prove: 0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -293,6 +293,34 @@
         push 0 of op 76 ends at 12: Error | log: upstream 12 set aside for 187 ms: an error | push op 76 to 13"#]].assert_eq(&set_aside.collect::<Vec<_>>().join("\n"));
 }
 
+/// Guards against nacks of ops that may run again while a server that fails some of its ops stands idle.
+#[test]
+fn a_doubted_server_takes_what_may_run_again_when_no_other_has_room() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(8).op(1, READ, 1, 0.1);
+    let (failing, trusted) = (world.last_pushed(), 3 - world.last_pushed());
+    world.end(1, 0, failing, Ending::Error).after_ms(50).end(1, 1, trusted, Ending::Acked);
+    world.op(2, ORDER, 1, 0.1).op(3, ORDER, 1, 0.1).op(4, ORDER, 1, 0.1);
+    world.op(5, READ, 1, 0.1).op(6, ORDER, 1, 0.1).note("-- but not where nobody listens");
+    world.end(5, 0, failing, Ending::ConnectFailed).op(7, READ, 1, 0.1);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 0 comes | push op 1 to 2
+        push 0 of op 1 ends at 2: Error | log: upstream 2 set aside for 242 ms: an error | push op 1 to 1
+        push 1 of op 1 ends at 1: Acked
+        op 2 of category 2 comes | push op 2 to 1
+        op 3 of category 2 comes | push op 3 to 1
+        op 4 of category 2 comes | push op 4 to 1
+        op 5 of category 0 comes | push op 5 to 2
+        op 6 of category 2 comes
+        -- but not where nobody listens
+        push 0 of op 5 ends at 2: ConnectFailed | nack op 5, say when to come back
+        op 7 of category 0 comes
+    "#]],
+    );
+}
+
 #[test]
 fn full_proves_that_an_at_most_once_push_never_ran() {
     let mut world = World::new(terms(), &one_kind(&[1, 2]));
