Forget upstreams that are long gone, in the list and in the decisions

Change: the list forgets what is gone or left out of a whole list once it has said so; the decisions let go of a gone server when it has nothing in flight and got nothing within the warming time (or the longest TTL): what it got sooner counts against a cold server's budget if it is back. A place is never given to another server, so no sample, op or late end can be taken for another's.

--- a/crates/balancer/src/list.rs
+++ b/crates/balancer/src/list.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Says in the log what has changed: a list that comes whole may hold nothing new.
+    /// Says in the log what has changed: a list that comes whole may hold nothing new. What is gone is forgotten
+    /// then, for upstreams are replaced all day.
     pub fn tell(&mut self, answer: &ListAnswer, rows: &[Listing]) {
         for (line, row) in answer.servers.iter().zip(rows) {
             let news = (row.condition, line.addr);
@@ -133,6 +134,11 @@
                 note!("list: {}", line.told(row));
             }
         }
+        let listed: BTreeSet<UpstreamId> = rows.iter().map(|row| row.upstream).collect();
+        let is_left_out = |id: &UpstreamId| answer.full && !listed.contains(id);
+        self.told.retain(|id, (condition, _)| *condition != Condition::Gone && !is_left_out(id));
+        self.ids.retain(|_, id| self.told.contains_key(id));
+        self.taken.retain(|id| self.told.contains_key(id));
     }
 
     /// From the name alone, so that all balancers draw alike; the next one where two names meet in one.
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -30,8 +30,12 @@
     }
 
     fn wait_for(&self, line: &str) {
+        self.wait_for_count(line, 1);
+    }
+
+    fn wait_for_count(&self, line: &str, count: usize) {
         let text = self.0.0.lock().unwrap();
-        let missing = |text: &mut String| !text.lines().any(|seen| seen.starts_with(line));
+        let missing = |text: &mut String| text.lines().filter(|seen| seen.starts_with(line)).count() < count;
         let (text, waited) = self.0.1.wait_timeout_while(text, PATIENCE, missing).unwrap();
         assert!(!waited.timed_out(), "no line {line:?} in:\n{text}");
     }
@@ -600,6 +604,33 @@
     "#]]);
 }
 
+/// Guards against keeping every upstream that was ever listed, and against what one left behind at its address.
+#[test]
+fn an_upstream_that_is_replaced_is_forgotten() {
+    let trace = Trace::default();
+    let a = upstream("A", &trace);
+    let lists = Arc::new(Mutex::new(vec![vec!["old"], vec!["new"], vec!["old", "new"]].into_iter()));
+    let discovery = listen(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while read_message(&mut reader).is_some() {
+            let Some(ids) = lists.lock().unwrap().next() else { return drop(reader.read(&mut [0])) };
+            let servers: Vec<Value> = ids.into_iter().map(|id| line(id, a, "active")).collect();
+            let answer = json!({"version": 2, "full": true, "servers": servers}).to_string();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).unwrap();
+        }
+    });
+    let balancer = start_with(&[], discovery, 256);
+    Client::new(&balancer).get("/", "1").answer(&trace);
+    balancer.log.wait_for_count("list: ", 3);
+    let log = balancer.log.0.0.lock().unwrap().replace(&a.to_string(), "A");
+    let log = log.lines().filter(|line| line.starts_with("list: ")).collect::<Vec<_>>().join("\n");
+    expect![[r#"
+        list: upstream 176711122 is old at A, Ready
+        list: upstream 2122082209 is new at A, Ready
+        list: upstream 176711122 is old at A, Ready"#]]
+    .assert_eq(&log);
+}
+
 #[test]
 fn connections_that_stand_idle_make_room() {
     let trace = Trace::default();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,7 @@
 use crate::ids::{AlarmId, At, CategoryId, KindId, OpId, PushNo, Span, TenantId, UpstreamId};
 use crate::rng::{Pcg, mix};
 use crate::samples::Ring;
-use crate::state::{FLEET_SAMPLES, Figures, Measured, Op, Paces, Push, Sample, Server};
+use crate::state::{FLEET_SAMPLES, Figures, Measured, Op, Paces, Push, Roster, Sample, Server};
 use crate::terms::{Category, DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
@@ -59,7 +59,7 @@
     terms: StartTerms,
     rng: Pcg,
     table: Table,
-    servers: Vec<Server>,
+    servers: Roster,
     /// The ready servers of each group, id and place, in ring order from this balancer's own start.
     members: Vec<Vec<(u64, usize)>>,
     doubted: Vec<usize>,
@@ -119,7 +119,7 @@
             terms,
             rng: Pcg::new(seed),
             table: table_of(&[]),
-            servers: Vec::new(),
+            servers: Roster::default(),
             members: Vec::new(),
             doubted: Vec::new(),
             places: BTreeMap::new(),
@@ -149,9 +149,7 @@
 
     pub fn list_given(&mut self, now: At, rows: &[Listing]) {
         // A server that a whole list leaves out has been taken away.
-        for server in &mut self.servers {
-            server.ready = false;
-        }
+        self.servers.iter_mut().for_each(|server| server.condition = Condition::Gone);
         self.list_changed(now, rows);
     }
 
@@ -163,8 +161,14 @@
         for row in rows {
             self.note_listing(now, row);
         }
+        // Guards against keeping for ever what replaced machines left behind. What one got lately counts
+        // against its budget, should it be back.
+        let lately = now - self.terms.cold.warm_within.max(self.terms.longest_ttl());
+        self.servers.let_go(|server| server.sent.last().is_none_or(|at| at < lately));
+        self.places.retain(|_, place| self.servers.has(*place));
+        self.doubted.retain(|place| self.servers.has(*place));
         self.members = vec![Vec::new(); self.table.kinds.len()];
-        for (place, server) in self.servers.iter().enumerate().filter(|(_, server)| server.ready) {
+        for (place, server) in self.servers.ready() {
             self.members[server.group].push((u64::from(server.id.0), place));
         }
         for members in &mut self.members {
@@ -217,15 +221,15 @@
             if row.condition == Condition::Gone {
                 return;
             }
-            self.places.insert(row.upstream, self.servers.len());
             // A kind that the table has not heard of belongs to default.
             let group = self.table.kinds.iter().position(|&kind| kind == row.kind).unwrap_or(DEFAULT);
             let phase = if is_cold { self.rng.unit() } else { 0.0 };
-            self.servers.push(Server { phase, ..Server::listed(now, row, group, LEAST_LIMIT) });
+            let place = self.servers.add(Server { phase, ..Server::listed(now, row, group, LEAST_LIMIT) });
+            self.places.insert(row.upstream, place);
             return;
         };
         let server = &mut self.servers[place];
-        server.ready = row.condition == Condition::Ready;
+        server.condition = row.condition;
         server.size = row.size;
         if row.up_since > server.up_since {
             server.up_since = row.up_since;
@@ -393,7 +397,7 @@
     fn draw(&self, now: At, op: &Op, salt: u64, group: usize) -> Option<usize> {
         let is_tried = |place: &&usize| {
             let server = &self.servers[**place];
-            let is_member = server.ready && (server.group == group || group == self.table.kinds.len());
+            let is_member = server.is_ready() && (server.group == group || group == self.table.kinds.len());
             is_member && self.may_try(now, op, **place)
         };
         if let Some(&place) = self.doubted.iter().find(is_tried) {
@@ -570,7 +574,7 @@
     /// When most servers look ill the fault is not theirs, and without them the rest would drown.
     fn can_spare(&self, place: usize) -> bool {
         let (mut ready, mut trusted) = (0.0, 0.0);
-        for (other, server) in self.servers.iter().enumerate().filter(|(_, server)| server.ready) {
+        for (other, server) in self.servers.ready() {
             ready += server.size;
             if server.to_prove == 0 && other != place {
                 trusted += server.size;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a balancer keeps of its servers and ops; every decision that reads or changes it is in [`crate::policy`].
 
 use std::collections::BTreeMap;
+use std::ops::{Index, IndexMut};
 
 use crate::host::{Condition, Listing, OpArrival};
 use crate::ids::{At, CellId, Span, UpstreamId, ZoneId};
@@ -77,7 +78,7 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub size: f64,
-    pub ready: bool,
+    pub condition: Condition,
     /// When it last started; its warming is counted from here. None: long ago.
     pub up_since: Option<At>,
     pub in_flight: u32,
@@ -108,6 +109,54 @@
     pub answered: Work,
 }
 
+/// The servers that are listed, or were lately. A place is never given to another: what was measured at one names
+/// its server by it.
+#[derive(Default)]
+pub struct Roster {
+    servers: BTreeMap<usize, Server>,
+    next: usize,
+}
+
+impl Roster {
+    pub fn add(&mut self, server: Server) -> usize {
+        self.next += 1;
+        self.servers.insert(self.next, server);
+        self.next
+    }
+
+    pub fn has(&self, place: usize) -> bool {
+        self.servers.contains_key(&place)
+    }
+
+    pub fn ready(&self) -> impl Iterator<Item = (usize, &Server)> {
+        self.servers.iter().filter(|(_, server)| server.is_ready()).map(|(&place, server)| (place, server))
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.servers.values_mut()
+    }
+
+    /// Of those that are gone and have nothing in flight.
+    pub fn let_go(&mut self, is_over: impl Fn(&Server) -> bool) {
+        let is_past = |server: &Server| server.condition == Condition::Gone && server.in_flight == 0;
+        self.servers.retain(|_, server| !(is_past(server) && is_over(server)));
+    }
+}
+
+impl Index<usize> for Roster {
+    type Output = Server;
+
+    fn index(&self, place: usize) -> &Server {
+        &self.servers[&place]
+    }
+}
+
+impl IndexMut<usize> for Roster {
+    fn index_mut(&mut self, place: usize) -> &mut Server {
+        self.servers.get_mut(&place).expect("a place is let go of after all that names it")
+    }
+}
+
 #[derive(Clone, Copy)]
 pub struct Push {
     pub server: usize,
@@ -136,6 +185,10 @@
 }
 
 impl Server {
+    pub fn is_ready(&self) -> bool {
+        self.condition == Condition::Ready
+    }
+
     pub fn listed(now: At, row: &Listing, group: usize, limit: f64) -> Server {
         Server {
             id: row.upstream,
@@ -143,7 +196,7 @@
             zone: row.zone,
             cell: row.cell,
             size: row.size,
-            ready: row.condition == Condition::Ready,
+            condition: row.condition,
             up_since: row.up_since,
             in_flight: 0,
             limit,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -556,6 +556,50 @@
     );
 }
 
+/// Guards against servers that are replaced all day and kept for ever, their doubts and samples with them.
+#[test]
+fn a_server_long_gone_is_forgotten() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2]));
+    world.warm_up(8).op(1, READ, 1, 0.1);
+    let failed = world.last_pushed();
+    world.end(1, 0, failed, Ending::Reset);
+    for (seconds, others) in [(1, 0), (30, 1)] {
+        world.note(&format!("-- gone, and back after {seconds} s"));
+        world.balancer.list_changed(world.now, &[with(Condition::Gone, server(failed, 0))]);
+        world.after_ms(1000 * seconds);
+        world.balancer.list_changed(world.now, &[server(3 - failed, 0)]);
+        world.balancer.list_changed(world.now, &[server(failed, 0)]);
+        for op in 0..4 {
+            let op = 10 + 10 * others + op;
+            world.op(op, ORDER, u64::from(op), 0.1).answered(op, 50);
+        }
+    }
+    check_after(
+        &world,
+        "-- gone",
+        expect![[r#"
+        , and back after 1 s
+        op 10 of category 2 comes | push op 10 to 1
+        push 0 of op 10 ends at 1: Acked
+        op 11 of category 2 comes | push op 11 to 1
+        push 0 of op 11 ends at 1: Acked
+        op 12 of category 2 comes | push op 12 to 1
+        push 0 of op 12 ends at 1: Acked
+        op 13 of category 2 comes | push op 13 to 1
+        push 0 of op 13 ends at 1: Acked
+        -- gone, and back after 30 s
+        op 20 of category 2 comes | push op 20 to 2
+        push 0 of op 20 ends at 2: Acked
+        op 21 of category 2 comes | push op 21 to 2
+        push 0 of op 21 ends at 2: Acked
+        op 22 of category 2 comes | push op 22 to 2
+        push 0 of op 22 ends at 2: Acked
+        op 23 of category 2 comes | push op 23 to 2
+        push 0 of op 23 ends at 2: Acked
+    "#]],
+    );
+}
+
 #[test]
 fn a_server_that_flaps_is_trusted_less_each_time() {
     let mut world = World::new(terms(), &one_kind(&[1, 2]));
