Ask the system before an op is written, and cut answers that stall

Change: a connection is peeked at by the system call before each op; bytes or an end there prove the op unsent (NeverSent where the connection had served others, else a refusal). An answer silent for twice the connect time-out is broken. The rest of a failure is read by a task of its own; the length of an answer is written anew.

--- a/crates/balancer/src/endings.rs
+++ b/crates/balancer/src/endings.rs
@@ -15,9 +15,10 @@
     Failed,
     /// A 200 whose body is larger than any that is passed on.
     TooLong,
-    /// Refused, or not up in time, or no socket left for it.
+    /// Refused, or not up in time, or ended before anything was sent on it, or no socket left for it.
     NoConnection,
-    /// The connection broke before the last byte of the op could be written.
+    /// A connection that had served others ended before the last byte of the op could be written. That says
+    /// nothing of the upstream: it closes those that stood idle.
     BrokenBeforeSent,
     /// It broke, or ended, at any time after that, or nobody knows when.
     Broken,
@@ -34,11 +35,11 @@
             PushEnding::Answered(_) => Ending::Acked,
             PushEnding::Declined => Ending::Full,
             PushEnding::Failed | PushEnding::TooLong => Ending::Error,
-            PushEnding::NoConnection | PushEnding::BrokenBeforeSent => Ending::ConnectFailed,
+            PushEnding::NoConnection => Ending::ConnectFailed,
             PushEnding::Broken => Ending::Reset,
             PushEnding::TimedOut => Ending::TimedOut,
             PushEnding::CalledOff => Ending::Cancelled,
-            PushEnding::NeverSent => Ending::NeverSent,
+            PushEnding::BrokenBeforeSent | PushEnding::NeverSent => Ending::NeverSent,
         }
     }
 }
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,8 +25,10 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 use crate::clock::{Clock, duration};
 use crate::endings::PushEnding;
@@ -139,10 +142,13 @@
         let found = self.lock().get(&push.upstream).map(|found| (found.address, found.client.clone()));
         let Some((address, client)) = found else { return PushEnding::NoConnection };
         let Some(request) = request(outgoing, address, left) else { return PushEnding::NeverSent };
+        let mut request = request;
+        let captured = capture_connection(&mut request);
         let ending = tokio::select! {
             biased;
             () = facade.called_off(push) => PushEnding::CalledOff,
-            ending = exchange(client, request) => ending,
+            ending = exchange(client, request, &captured) => ending,
+            () = stalls(&captured, self.connect_timeout * 2) => PushEnding::Broken,
             () = tokio::time::sleep(left) => PushEnding::TimedOut,
         };
         self.remember(push.upstream, began, &ending);
@@ -208,12 +214,18 @@
     }
 }
 
-async fn exchange(client: Client<Connector, Full<Bytes>>, mut request: Request<Full<Bytes>>) -> PushEnding {
-    let captured = capture_connection(&mut request);
+async fn exchange(
+    client: Client<Connector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    captured: &CaptureConnection,
+) -> PushEnding {
     let answer = match client.request(request).await {
         Ok(answer) => answer,
         Err(error) if error.is_connect() => return PushEnding::NoConnection,
-        Err(error) if was_never_written(&error, &captured) => return PushEnding::BrokenBeforeSent,
+        Err(error) if was_never_written(&error, captured) => {
+            let was_used = marks(captured).is_some_and(|marks| marks.was_used.load(Ordering::Relaxed));
+            return if was_used { PushEnding::BrokenBeforeSent } else { PushEnding::NoConnection };
+        }
         Err(_) => return PushEnding::Broken,
     };
     let status = answer.status();
@@ -221,7 +233,8 @@
         return whole(answer).await;
     }
     let has_word = answer.headers().get(DECLINED).is_some_and(|value| value == "1");
-    let _ = tokio::time::timeout(REST_OF_ANSWER, held_whole(answer.into_body())).await;
+    // Nobody waits for it.
+    tokio::spawn(tokio::time::timeout(REST_OF_ANSWER, held_whole(answer.into_body())));
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if has_word => PushEnding::Declined,
         _ => PushEnding::Failed,
@@ -256,6 +269,8 @@
     match held_whole(body).await {
         Ok(body) => {
             end_to_end(&mut head.headers);
+            // Written anew for what was held: beside pieces it may have said anything.
+            head.headers.remove(header::CONTENT_LENGTH);
             head.version = Version::HTTP_11;
             PushEnding::Answered(Response::from_parts(head, body))
         }
@@ -275,11 +290,24 @@
         }
         source = cause.source();
     }
+    marks(captured).is_some_and(|marks| marks.write_failed.load(Ordering::Relaxed))
+}
+
+fn marks(captured: &CaptureConnection) -> Option<Arc<Marks>> {
     let mut extras = axum::http::Extensions::new();
-    if let Some(connected) = captured.connection_metadata().as_ref() {
-        connected.get_extras(&mut extras);
+    captured.connection_metadata().as_ref()?.get_extras(&mut extras);
+    extras.remove()
+}
+
+/// Guards against an answer that begins and never ends: it would hold its op until the client's time is over.
+async fn stalls(captured: &CaptureConnection, longest: Duration) {
+    loop {
+        tokio::time::sleep(longest / 2).await;
+        let heard = marks(captured).and_then(|marks| *marks.heard.lock().expect("no panic while it is held"));
+        if heard.is_some_and(|heard| heard.elapsed() >= longest) {
+            return;
+        }
     }
-    extras.get::<WriteFailed>().is_some_and(|failed| failed.0.load(Ordering::Relaxed))
 }
 
 #[derive(Clone)]
@@ -304,27 +332,52 @@
             let held = sockets.acquire_owned().await.map_err(io::Error::other)?;
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            Ok(Wire { stream: TokioIo::new(stream), write_failed: WriteFailed::default(), _held: held })
+            Ok(Wire { stream: TokioIo::new(stream), marks: Arc::default(), between: true, _held: held })
         };
         Box::pin(async move { tokio::time::timeout(timeout, connect).await? })
     }
 }
 
-/// Whether a write to the connection failed: then the last byte of what was being sent never left.
-#[derive(Clone, Default)]
-struct WriteFailed(Arc<AtomicBool>);
+/// What passed on a connection.
+#[derive(Default)]
+struct Marks {
+    /// Then the last byte of what was being sent never left.
+    write_failed: AtomicBool,
+    /// An op was begun on it.
+    was_used: AtomicBool,
+    /// When the last byte of the answer came, once it has begun.
+    heard: Mutex<Option<Instant>>,
+}
 
 /// A connection to an upstream, and its part of the sockets.
 struct Wire {
     stream: TokioIo<TcpStream>,
-    write_failed: WriteFailed,
+    marks: Arc<Marks>,
+    /// Nothing was written since the last answer.
+    between: bool,
     _held: OwnedSemaphorePermit,
 }
 
 impl Wire {
+    /// Guards against an op written to a connection that has ended, which may then have run for all that anybody
+    /// knows, and against what came behind an answer and would pass for the next one's. The system is asked:
+    /// what the runtime knows is older.
+    fn begin(&mut self) -> io::Result<()> {
+        if std::mem::take(&mut self.between) {
+            *self.marks.heard.lock().expect("no panic while it is held") = None;
+            let waiting = SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]);
+            if !waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+                self.marks.write_failed.store(true, Ordering::Relaxed);
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            self.marks.was_used.store(true, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
     fn noted<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if let Poll::Ready(Err(_)) = written {
-            self.write_failed.0.store(true, Ordering::Relaxed);
+            self.marks.write_failed.store(true, Ordering::Relaxed);
         }
         written
     }
@@ -332,18 +385,24 @@
 
 impl Connection for Wire {
     fn connected(&self) -> Connected {
-        Connected::new().extra(self.write_failed.clone())
+        Connected::new().extra(self.marks.clone())
     }
 }
 
 impl Read for Wire {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: ReadBufCursor) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, into)
+        let read = Pin::new(&mut self.stream).poll_read(cx, into);
+        if read.is_ready() {
+            self.between = true;
+            *self.marks.heard.lock().expect("no panic while it is held") = Some(Instant::now());
+        }
+        read
     }
 }
 
 impl Write for Wire {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.begin()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.noted(written)
     }
@@ -365,7 +424,46 @@
         cx: &mut Context,
         bytes: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
+        self.begin()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
         self.noted(written)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Write as _;
+
+    use expect_test::expect;
+
+    use super::*;
+
+    #[tokio::test]
+    async fn no_op_is_written_where_something_waits_or_the_connection_has_ended() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let sockets = Arc::new(Semaphore::new(8));
+        let mut trace = String::new();
+        for behind in ["nothing", "an answer", "the end"] {
+            let ours = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let mut theirs = Some(listener.accept().unwrap().0);
+            let held = sockets.clone().acquire_owned().await.unwrap();
+            let mut wire =
+                Wire { stream: TokioIo::new(ours), marks: Arc::default(), between: true, _held: held };
+            match behind {
+                "an answer" => theirs.as_mut().unwrap().write_all(b"HTTP/1.1 200 OK").unwrap(),
+                "the end" => drop(theirs.take()),
+                _ => {}
+            }
+            let written = std::future::poll_fn(|cx| Pin::new(&mut wire).poll_write(cx, b"op")).await;
+            let failed = wire.marks.write_failed.load(Ordering::Relaxed);
+            trace +=
+                &format!("{behind}: {:?}, proved unsent {failed}\n", written.map_err(|error| error.kind()));
+        }
+        expect![[r#"
+            nothing: Ok(2), proved unsent false
+            an answer: Err(ConnectionReset), proved unsent true
+            the end: Err(ConnectionReset), proved unsent true
+        "#]]
+        .assert_eq(&trace);
+    }
+}
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -102,6 +102,7 @@
             let answer = match of_this.unwrap_or(path).trim_start_matches('/') {
                 "break" => return,
                 "cut" => "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                "stall" => "HTTP/1.1 200 OK\r\nContent-Len",
                 "decline" => "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
                 "fail" => "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
                 "long" => "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n",
@@ -148,7 +149,7 @@
         "dcs": ["east"], "kinds": ["small"], "n_instances": 1, "ordinal": 0, "overage_benefit": 0.1,
         "discovery": "on_request",
         "limits": {"max_pushes": 4, "second_copies": true, "cancelling": true, "retry_after": true,
-            "max_retry_after": 2.0, "connect_timeout": 2.0, "keepalive": 60.0},
+            "max_retry_after": 2.0, "connect_timeout": 0.5, "keepalive": 60.0},
         "obligations": {"ask_within": 2.0, "cold_from": 0.2, "cold": 20.0, "fall_multiple": 2.5, "fall": 2.0}
     })
 }
@@ -273,7 +274,7 @@
 fn what_may_have_run_is_pushed_again_only_where_that_does_no_harm() {
     let trace = Trace::default();
     let upstreams = [line("a", upstream("A", &trace), "active"), line("b", upstream("B", &trace), "active")];
-    for path in ["/break", "/cut", "/long", "/fail"] {
+    for path in ["/break", "/cut", "/long", "/fail", "/stall"] {
         Client::new(&start(&upstreams)).buy(path, "1").answer(&trace);
         Client::new(&start(&upstreams)).get(path, "2").answer(&trace);
     }
@@ -298,6 +299,11 @@
         B: GET /fail HTTP/1.1 id 2 body ""
         A: GET /fail HTTP/1.1 id 2 body ""
         client: 503 "not now"
+        B: POST /stall HTTP/1.1 id 1 body "one"
+        client: 502 "no answer, and it may have run"
+        B: GET /stall HTTP/1.1 id 2 body ""
+        A: GET /stall HTTP/1.1 id 2 body ""
+        client: 503 "not now"
     "#]]);
 }
 
