--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -194,23 +194,42 @@
         }
     }
 
-    /// Frees a socket before there is none: the connection that has been without an op for longest has to go,
-    /// be it in the midst of a slow one. One that has only just come is about to be used, but after that those
-    /// that never brought an op go before those that did: hundreds may connect and say nothing.
-    fn close_longest_idle(&self) {
+    /// Lets go of up to so many connections that stand without an op, those first that never brought one: hundreds
+    /// may connect and say nothing. One that has only just come, or brings an op slowly, is left alone a while.
+    fn close_idle(&self, most: usize) {
         let clients = self.clients();
-        let before = self.clock.now() - LINGER;
-        let idle = clients.values().filter_map(|client| match *client.stage() {
-            Stage::New(since) | Stage::Coming(since) if since < before => Some((since - SLOWEST_OP, client)),
-            Stage::Idle(since) if since < before => Some((since, client)),
-            _ => None,
-        });
-        if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
+        let now = self.clock.now();
+        let mut idle: Vec<(At, &Arc<Connection>)> = clients
+            .values()
+            .filter_map(|client| match *client.stage() {
+                Stage::New(since) if now - since > LINGER.times(2.0) => Some((since - SLOWEST_OP, client)),
+                Stage::Coming(since) if now - since > SLOWEST_OP.times(0.5) => {
+                    Some((since - SLOWEST_OP, client))
+                }
+                Stage::Idle(since) if now - since > LINGER => Some((since, client)),
+                _ => None,
+            })
+            .collect();
+        idle.sort_by_key(|(since, _)| *since);
+        for (_, client) in idle.into_iter().take(most) {
             *client.stage() = Stage::Closing;
             client.close.notify_one();
         }
     }
 
+    /// Guards against clients that ask once and keep their connection: the platform lets clients have a part of the
+    /// sockets, so that the usual ones could open no more long before ours run out.
+    async fn keep_few_idle(&self) {
+        let mut look = tokio::time::interval(duration(LINGER.times(0.5)));
+        loop {
+            look.tick().await;
+            let over = self.clients().len().saturating_sub(self.given.sockets / 6);
+            if over > 0 {
+                self.close_idle(over);
+            }
+        }
+    }
+
     fn is_short(&self) -> bool {
         self.clients().len() * 8 >= self.most * 7
     }
@@ -415,6 +434,8 @@
     let router = Router::new().route(READY, get(ready)).fallback(op).with_state(front.clone());
     // The port may have been left to the system.
     note!("serving on {}", listener.local_addr().unwrap_or(address));
+    let keeper = front.clone();
+    tokio::spawn(async move { keeper.keep_few_idle().await });
     let mut next = 0;
     loop {
         tokio::select! {
@@ -457,7 +478,7 @@
 async fn accept(listener: &TcpListener, front: &Front) -> TcpStream {
     loop {
         if front.clients().len() >= front.most {
-            front.close_longest_idle();
+            front.close_idle(1);
         }
         if front.clients().len() >= front.most + front.most / 20 {
             let _ = tokio::time::timeout(duration(LINGER), front.freed.notified()).await;
@@ -469,7 +490,7 @@
             Err(error) => {
                 // Most often no descriptor is free; a moment later one may be.
                 note!("a connection could not be accepted: {error}");
-                front.close_longest_idle();
+                front.close_idle(1);
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         }
@@ -478,7 +499,7 @@
 
 fn spawn(front: &Arc<Front>, router: &Router, stream: TcpStream, next: &mut u64) {
     if front.is_short() {
-        front.close_longest_idle();
+        front.close_idle(1);
     }
     let client = Arc::new(Connection {
         clock: front.clock,
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -688,6 +688,29 @@
     .assert_eq(&said);
 }
 
+/// Guards against clients that ask once and keep their connection, until the usual ones may open no more.
+#[test]
+fn those_who_ask_once_are_let_go_long_before_the_sockets_run_out() {
+    let trace = Trace::default();
+    let upstreams = [line("a", upstream("A", &Trace::default()), "active")];
+    let (crowded, calm) = (start_with(&upstreams, NOBODY.parse().unwrap(), 64), start(&upstreams));
+    let (mut silent, of_silent) = (Client::new(&calm), trace.clone());
+    let waited = thread::spawn(move || {
+        read_message(&mut silent.0);
+        of_silent.line("a client that says nothing is sent away elsewhere");
+    });
+    let mut stayed: Vec<Client> = (0..20).map(|_| Client::new(&crowded)).collect();
+    for (id, client) in stayed.iter_mut().enumerate() {
+        read_message(&mut client.get("/", &id.to_string()).0).expect("an answer");
+    }
+    stayed[0].answer(&trace);
+    waited.join().unwrap();
+    trace.check(expect![[r#"
+        client: connection ended
+        a client that says nothing is sent away elsewhere
+    "#]]);
+}
+
 /// Guards against clients that begin an op and never end it, until no socket is left.
 #[test]
 fn half_ops_make_room() {
