After SIGTERM go on serving clients on the connections that they have

Lines at fault: closing() and serve() in front.rs said Connection: close from SIGTERM on and closed idle connections after 0.7 s, though the platform leaves more than three seconds and starts the process anew no sooner. Ruled out: pushes (0 reset, 3 errors), the list, sockets (143 of 384). Change: for two thirds of the grace clients are served as before, /-/ready apart; then they are told to go. The grace is no longer than the longest TTL. What is left are new connections that find no balancer for the moment.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -1,6 +1,7 @@
 //! The side of the clients: it accepts connections, reads ops, and gives each its one final answer. It owns the
-//! clients' connections, how many there may be and how long they may take, and the orderly end. It must never choose an upstream, answer an
-//! op that the decisions hold by its own choice, or hand them one that it could not read whole.
+//! clients' connections, how many there may be and how long they may take, and the orderly end. It must never
+//! choose an upstream, answer an op that the decisions hold by its own choice, or hand them one that it could not
+//! read whole.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -58,8 +59,11 @@
 /// What a client still sends when it is turned away is read so far: closing over it would reset the connection,
 /// and the answer be lost with it.
 const MOST_UNREAD: usize = 256 << 10;
-/// Connections still come for so long after SIGTERM: whoever sends them learns of it late.
-const STILL_COMING: Duration = Duration::from_millis(700);
+/// Of the grace after SIGTERM. For so long clients are served on the connections that they have: these would find
+/// nobody else while other balancers are being restarted, and a process that has ended serves no one.
+const STILL_SERVING: f64 = 2.0 / 3.0;
+/// Answers given at the end of the grace are still on their way for so long.
+const PARTING: Duration = Duration::from_millis(350);
 const BACKLOG: u32 = 1024;
 
 pub struct Front {
@@ -184,6 +188,11 @@
         self.asked.borrow().is_some()
     }
 
+    /// Clients are told to go.
+    fn is_parting(&self) -> bool {
+        self.asked.borrow().is_some_and(|asked| asked.elapsed() >= self.grace.mul_f64(STILL_SERVING))
+    }
+
     /// Guards against ops that are still held when the platform's patience ends: then all is killed.
     async fn out_of_grace(&self) {
         let mut asked = self.asked.subscribe();
@@ -283,7 +292,7 @@
 
     /// The last touch of every answer: a client is told when its connection will not be kept.
     fn closing(&self, mut response: Response) -> Response {
-        if self.is_draining() || self.is_short() {
+        if self.is_parting() || self.is_short() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -452,12 +461,12 @@
         tokio::select! {
             stream = accept(&listener, &front) => spawn(&front, &router, stream, &mut next),
             now = look.tick() => {
-                if now < asked + STILL_COMING {
+                if !front.is_parting() {
                     continue;
                 }
                 let clients: Vec<Arc<Connection>> = front.clients().values().cloned().collect();
                 clients.iter().for_each(|client| client.close.notify_one());
-                if clients.is_empty() || now >= asked + front.grace + STILL_COMING / 2 {
+                if clients.is_empty() || now >= asked + front.grace + PARTING {
                     note!("ended with {} connections open", clients.len());
                     return Ok(());
                 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -123,6 +123,8 @@
         tokio::spawn(list::follow(clock, list, facade.clone(), upstreams.clone(), of_list));
         tokio::spawn(reload(config, reloads, source));
         let sockets = given.sockets * 10 / 16;
+        // The platform kills the process so long after SIGTERM as an op may take, where that is less.
+        let grace = grace.min(clock::duration(given.terms.longest_ttl()));
         front::serve(Front::new(clock, given, facade, upstreams, sockets, grace)).await
     });
     log::finish();
