--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -141,8 +141,7 @@
         }
         let found = self.lock().get(&push.upstream).map(|found| (found.address, found.client.clone()));
         let Some((address, client)) = found else { return PushEnding::NoConnection };
-        let Some(request) = request(outgoing, address, left) else { return PushEnding::NeverSent };
-        let mut request = request;
+        let Some(mut request) = request(outgoing, address, left) else { return PushEnding::NeverSent };
         let captured = capture_connection(&mut request);
         let ending = tokio::select! {
             biased;
@@ -233,7 +232,7 @@
         return whole(answer).await;
     }
     let has_word = answer.headers().get(DECLINED).is_some_and(|value| value == "1");
-    // Nobody waits for it.
+    // Nobody waits for the rest: a failure is not to be told late for it.
     tokio::spawn(tokio::time::timeout(REST_OF_ANSWER, held_whole(answer.into_body())));
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if has_word => PushEnding::Declined,
