Read clients' bytes in one piece, and serve the tests' lists from one toy

An op's end set its connection idle twice. The lock on when a connection was last heard of was written out three times. Three tests had a toy list service each.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -312,7 +312,6 @@
 /// An op in hand. Tells the decisions that its client has gone, if its handling ends before its answer.
 struct Taken<'a> {
     front: &'a Front,
-    client: Arc<Connection>,
     op: OpId,
     id: String,
 }
@@ -321,7 +320,6 @@
     fn drop(&mut self) {
         self.front.facade.report_gone(self.front.clock.now(), self.op);
         self.front.open().remove(&self.id);
-        self.client.rests();
     }
 }
 
@@ -373,7 +371,7 @@
     head: Parts,
     body: Bytes,
 ) -> Response {
-    let id = head.headers.get(ID).and_then(|id| id.to_str().ok()).unwrap_or_default().to_string();
+    let id = text(&head.headers, &ID).ok().flatten().unwrap_or_default().to_string();
     // Guards against two pushes of one id at an upstream, which would pass for one op made twice.
     if !front.open().insert(id.clone()) {
         return (StatusCode::CONFLICT, format!("an op with this {ID} is in hand\n")).into_response();
@@ -387,7 +385,7 @@
     tokio::pin!(overdue, out_of_grace);
     let op = front.facade.take(now, new);
     *client.stage() = Stage::Held;
-    let _taken = Taken { front, client, op, id };
+    let _taken = Taken { front, op, id };
     let (answered, mut answers) = mpsc::channel(1);
     loop {
         tokio::select! {
--- a/crates/balancer/src/given.rs
+++ b/crates/balancer/src/given.rs
@@ -1,5 +1,5 @@
-//! What a balancer is given at its start: one JSON file, read whole before any of it is used. It owns the names at the edge (categories,
-//! tenants, zones, kinds) and must never pass one on as more than the place it stands at.
+//! What a balancer is given at its start: one JSON file, read whole before any of it is used. It owns the names at
+//! the edge (categories, tenants, zones, kinds) and must never pass one on as more than the place it stands at.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/balancer/src/heads.rs
+++ b/crates/balancer/src/heads.rs
@@ -17,6 +17,8 @@
 /// Larger than any head in use; what grows beyond it is read no further.
 pub const LARGEST_HEAD: usize = 16 << 10;
 const MOST_FIELDS: usize = 64;
+/// The length of an op in pieces, whose end only the library sees: nothing behind it is an op any more.
+const PIECES: usize = usize::MAX;
 
 /// Why a client's bytes are read no further, as it is told.
 pub type Fault = (StatusCode, &'static str);
@@ -28,21 +30,13 @@
     client: Arc<Connection>,
     /// Bytes that came and are not passed on yet: a head that is not whole, or what follows one.
     held: Vec<u8>,
-    next: Next,
-}
-
-/// What the next bytes are.
-enum Next {
-    Head,
-    /// So many bytes of a head or body that was looked at.
-    Passing(usize),
-    /// Pieces whose end only the library sees: nothing behind them is an op any more.
-    Pieces,
+    /// So many more bytes of what was looked at are passed on; then comes a head.
+    left: usize,
 }
 
 impl Heads {
     pub fn new(stream: Arc<TcpStream>, client: Arc<Connection>) -> Heads {
-        Heads { stream, client, held: Vec::new(), next: Next::Head }
+        Heads { stream, client, held: Vec::new(), left: 0 }
     }
 
     fn poll_more(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
@@ -75,53 +69,39 @@
 impl Read for Heads {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut into: ReadBufCursor) -> Poll<io::Result<()>> {
         let heads = self.get_mut();
-        loop {
-            match heads.next {
-                Next::Head => {
-                    if !heads.held.is_empty() {
-                        heads.client.begins();
-                    }
-                    match look_at(&heads.held) {
-                        Ok(Some(next)) => {
-                            heads.client.begins_answer(matches!(next, Next::Pieces));
-                            heads.next = next;
-                        }
-                        Ok(None) => {
-                            if ready!(heads.poll_more(cx))? == 0 {
-                                return Poll::Ready(Ok(()));
-                            }
-                        }
-                        // To the library the connection ends here, and with it what it was to answer first.
-                        Err(_) if heads.client.owes_answer() => return Poll::Pending,
-                        Err(fault) => {
-                            heads.client.turn_away(fault);
-                            return Poll::Ready(Ok(()));
-                        }
-                    }
+        while heads.left == 0 {
+            if !heads.held.is_empty() {
+                heads.client.begins();
+            }
+            match look_at(&heads.held) {
+                Ok(Some(length)) => {
+                    heads.client.begins_answer(length == PIECES);
+                    heads.left = length;
                 }
-                Next::Passing(0) => heads.next = Next::Head,
-                Next::Passing(left) => {
-                    if heads.held.is_empty() && ready!(heads.poll_more(cx))? == 0 {
+                Ok(None) => {
+                    if ready!(heads.poll_more(cx))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    heads.next = Next::Passing(left - heads.pass(left, &mut into));
-                    return Poll::Ready(Ok(()));
                 }
-                Next::Pieces => {
-                    if heads.held.is_empty() && ready!(heads.poll_more(cx))? == 0 {
-                        return Poll::Ready(Ok(()));
-                    }
-                    heads.pass(usize::MAX, &mut into);
+                // To the library the connection ends here, and with it what it was to answer first.
+                Err(_) if heads.client.owes_answer() => return Poll::Pending,
+                Err(fault) => {
+                    heads.client.turn_away(fault);
                     return Poll::Ready(Ok(()));
                 }
             }
         }
+        if heads.held.is_empty() && ready!(heads.poll_more(cx))? == 0 {
+            return Poll::Ready(Ok(()));
+        }
+        heads.left -= heads.pass(heads.left, &mut into);
+        Poll::Ready(Ok(()))
     }
 }
 
-/// What follows, once the head is whole: the head itself with its body, if its framing leaves no doubt. Guards
-/// against an op hidden in the body of another, which the library would pass over in silence.
-fn look_at(held: &[u8]) -> Result<Option<Next>, Fault> {
+/// The length of the op, head and body, once the head is whole and if its framing leaves no doubt. Guards against
+/// an op hidden in the body of another, which the library would pass over in silence.
+fn look_at(held: &[u8]) -> Result<Option<usize>, Fault> {
     if held.is_empty() {
         return Ok(None);
     }
@@ -155,8 +135,8 @@
     match body {
         Some(_) if pieces => Err((BAD, "both a content-length and a transfer-encoding")),
         Some(body) if body > LARGEST_BODY => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")),
-        _ if pieces => Ok(Some(Next::Pieces)),
-        _ => Ok(Some(Next::Passing(length + body.unwrap_or(0)))),
+        _ if pieces => Ok(Some(PIECES)),
+        _ => Ok(Some(length + body.unwrap_or(0))),
     }
 }
 
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -302,7 +302,7 @@
 async fn stalls(captured: &CaptureConnection, longest: Duration) {
     loop {
         tokio::time::sleep(longest / 2).await;
-        let heard = marks(captured).and_then(|marks| *marks.heard.lock().expect("no panic while it is held"));
+        let heard = marks(captured).and_then(|marks| *marks.heard());
         if heard.is_some_and(|heard| heard.elapsed() >= longest) {
             return;
         }
@@ -348,6 +348,12 @@
     heard: Mutex<Option<Instant>>,
 }
 
+impl Marks {
+    fn heard(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.heard.lock().expect("no panic while it is held")
+    }
+}
+
 /// A connection to an upstream, and its part of the sockets.
 struct Wire {
     stream: TokioIo<TcpStream>,
@@ -363,7 +369,7 @@
     /// what the runtime knows is older.
     fn begin(&mut self) -> io::Result<()> {
         if std::mem::take(&mut self.between) {
-            *self.marks.heard.lock().expect("no panic while it is held") = None;
+            *self.marks.heard() = None;
             let waiting = SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]);
             if !waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
                 self.marks.write_failed.store(true, Ordering::Relaxed);
@@ -393,7 +399,7 @@
         let read = Pin::new(&mut self.stream).poll_read(cx, into);
         if read.is_ready() {
             self.between = true;
-            *self.marks.heard.lock().expect("no panic while it is held") = Some(Instant::now());
+            *self.marks.heard() = Some(Instant::now());
         }
         read
     }
--- a/crates/balancer/tests/sockets.rs
+++ b/crates/balancer/tests/sockets.rs
@@ -30,14 +30,20 @@
     }
 
     fn wait_for(&self, line: &str) {
-        self.wait_for_count(line, 1);
+        self.wait_until(line, |text| text.lines().any(|seen| seen == line));
     }
 
-    fn wait_for_count(&self, line: &str, count: usize) {
+    /// Where the rest of the lines is not known beforehand.
+    fn wait_for_beginnings(&self, of_line: &str, count: usize) {
+        self.wait_until(of_line, |text| {
+            text.lines().filter(|seen| seen.starts_with(of_line)).count() >= count
+        });
+    }
+
+    fn wait_until(&self, what: &str, is_there: impl Fn(&str) -> bool) {
         let text = self.0.0.lock().unwrap();
-        let missing = |text: &mut String| text.lines().filter(|seen| seen.starts_with(line)).count() < count;
-        let (text, waited) = self.0.1.wait_timeout_while(text, PATIENCE, missing).unwrap();
-        assert!(!waited.timed_out(), "no line {line:?} in:\n{text}");
+        let (text, waited) = self.0.1.wait_timeout_while(text, PATIENCE, |text| !is_there(text)).unwrap();
+        assert!(!waited.timed_out(), "no line {what:?} in:\n{text}");
     }
 
     fn check(&self, kept: Expect) {
@@ -133,6 +139,21 @@
     })
 }
 
+/// Answers each call for the list with what it is told to; a call that it is told nothing for stays unanswered.
+fn list_service(answer: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> SocketAddr {
+    listen(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(call) = read_message(&mut reader) {
+            let Some(list) = answer(call.start()) else { return drop(reader.read(&mut [0])) };
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).unwrap();
+        }
+    })
+}
+
+fn whole_list(servers: &[Value]) -> Value {
+    json!({"version": 1, "full": true, "servers": servers})
+}
+
 fn line(id: &str, address: SocketAddr, state: &str) -> Value {
     json!({"id": id, "addr": address, "zone": "east", "kind": "small", "cell": 0, "state": state,
         "weight": 1.0, "started_ms": 0})
@@ -187,9 +208,8 @@
 }
 
 fn config(known: &[Value], discovery: SocketAddr, sockets: u32) -> Value {
-    let known = json!({"version": 1, "full": true, "servers": known});
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "7",
-        "limits": {"sockets": sockets}, "known": known, "settings": settings()})
+        "limits": {"sockets": sockets}, "known": whole_list(known), "settings": settings()})
 }
 
 fn start_with(known: &[Value], discovery: SocketAddr, sockets: u32) -> Balancer {
@@ -529,22 +549,18 @@
     let calls = Arc::new(Mutex::new(0));
     let asked = Trace::default();
     let of_list = asked.clone();
-    let discovery = listen(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(call) = read_message(&mut reader) {
-            let number = {
-                let mut calls = calls.lock().unwrap();
-                *calls += 1;
-                *calls
-            };
-            of_list.line(&format!("call {number}: {}", call.start()));
-            let changes = [line("a", a, "leaving"), line("b", b, "active")];
-            let answer = match number {
-                1 => json!({"version": 5, "full": false, "servers": changes}).to_string(),
-                2 => "no list".to_string(),
-                _ => return drop(reader.read(&mut [0])),
-            };
-            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).unwrap();
+    let discovery = list_service(move |call| {
+        let number = {
+            let mut calls = calls.lock().unwrap();
+            *calls += 1;
+            *calls
+        };
+        of_list.line(&format!("call {number}: {call}"));
+        let changes = [line("a", a, "leaving"), line("b", b, "active")];
+        match number {
+            1 => Some(json!({"version": 5, "full": false, "servers": changes}).to_string()),
+            2 => Some("no list".to_string()),
+            _ => None,
         }
     });
     let balancer = start_with(&[line("a", a, "active")], discovery, 256);
@@ -572,16 +588,9 @@
     let (a, b) = (upstream("A", &trace), upstream("B", &trace));
     let asked = Trace::default();
     let of_list = asked.clone();
-    let elsewhere = listen(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        let answer = json!({"version": 1, "full": true, "servers": [line("b", b, "active")]}).to_string();
-        while let Some(call) = read_message(&mut reader) {
-            of_list.line(call.start());
-            if call.start().contains("after") {
-                return drop(reader.read(&mut [0]));
-            }
-            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).unwrap();
-        }
+    let elsewhere = list_service(move |call| {
+        of_list.line(call);
+        (!call.contains("after")).then(|| whole_list(&[line("b", b, "active")]).to_string())
     });
     let known = [line("a", a, "active")];
     let balancer = start(&known);
@@ -590,7 +599,7 @@
     trace.wait_for("A: POST /slow HTTP/1.1 id 1 body \"one\"");
     std::fs::write(&balancer.config, "{").unwrap();
     balancer.signal("HUP");
-    balancer.log.wait_for("configuration kept as it was: ");
+    balancer.log.wait_for_beginnings("configuration kept as it was: ", 1);
     Client::new(&balancer).get("/", "2").answer(&trace);
     std::fs::write(&balancer.config, config(&known, elsewhere, 256).to_string()).unwrap();
     balancer.signal("HUP");
@@ -616,18 +625,14 @@
     let trace = Trace::default();
     let a = upstream("A", &trace);
     let lists = Arc::new(Mutex::new(vec![vec!["old"], vec!["new"], vec!["old", "new"]].into_iter()));
-    let discovery = listen(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while read_message(&mut reader).is_some() {
-            let Some(ids) = lists.lock().unwrap().next() else { return drop(reader.read(&mut [0])) };
-            let servers: Vec<Value> = ids.into_iter().map(|id| line(id, a, "active")).collect();
-            let answer = json!({"version": 2, "full": true, "servers": servers}).to_string();
-            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{answer}", answer.len()).unwrap();
-        }
+    let discovery = list_service(move |_| {
+        let ids = lists.lock().unwrap().next()?;
+        let servers: Vec<Value> = ids.into_iter().map(|id| line(id, a, "active")).collect();
+        Some(whole_list(&servers).to_string())
     });
     let balancer = start_with(&[], discovery, 256);
     Client::new(&balancer).get("/", "1").answer(&trace);
-    balancer.log.wait_for_count("list: ", 3);
+    balancer.log.wait_for_beginnings("list: ", 3);
     let log = balancer.log.0.0.lock().unwrap().replace(&a.to_string(), "A");
     let log = log.lines().filter(|line| line.starts_with("list: ")).collect::<Vec<_>>().join("\n");
     expect![[r#"
