--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -4,10 +4,9 @@
 //! read whole.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::{Future, poll_fn};
 use std::io;
-use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use axum::Router;
@@ -24,19 +23,17 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::Instant;
+use tokio::sync::{Notify, mpsc};
 use tower_service::Service;
 
-use crate::clock::{Clock, duration};
+use crate::bodies::{BodyFault, LARGEST_BODY, end_to_end, held_whole};
+use crate::connection::{Connection, SLOWEST_OP, Stage};
 use crate::endings::PushEnding;
 use crate::given::Given;
-use crate::heads::{Fault, Heads, LARGEST_HEAD};
+use crate::heads::{Heads, LARGEST_HEAD};
 use crate::note;
-use crate::upstreams::{BodyFault, LARGEST_BODY, Outgoing, TIME_LEFT, Upstreams, end_to_end, held_whole};
+use crate::upstreams::{Outgoing, TIME_LEFT, Upstreams};
+use crate::world::{Listener, Stream, World, duration};
 
 const CATEGORY: HeaderName = HeaderName::from_static("req-kind");
 const TENANT: HeaderName = HeaderName::from_static("req-owner");
@@ -49,11 +46,6 @@
 const MARGIN: Span = Span(200);
 /// An op that the decisions have not answered so long after its time is answered here, as a last resort.
 const OVERDUE: Span = Span(100);
-/// A connection that stands open between ops is closed after this; the client opens another.
-const IDLE: Span = Span(100_000);
-/// From its first byte to its last, or from the connection where that brings its first op: what is not whole by
-/// then is not taken.
-const SLOWEST_OP: Span = Span(20_000);
 /// What a connection that is to close may still take to flush its last answer.
 const LINGER: Span = Span(1000);
 /// What a client still sends when it is turned away is read so far: closing over it would reset the connection,
@@ -63,120 +55,52 @@
 /// nobody else while other balancers are being restarted, and a process that has ended serves no one.
 const STILL_SERVING: f64 = 2.0 / 3.0;
 /// Answers given at the end of the grace are still on their way for so long.
-const PARTING: Duration = Duration::from_millis(350);
+const PARTING: Span = Span(3500);
+/// How often it is seen, towards the end, whether all is answered.
+const BETWEEN_LOOKS: Span = Span(200);
 const BACKLOG: u32 = 1024;
 
-pub struct Front {
-    clock: Clock,
+pub struct Front<W: World> {
+    world: W,
     given: Arc<Given>,
     facade: Facade,
-    upstreams: Arc<Upstreams>,
+    upstreams: Arc<Upstreams<W>>,
     most: usize,
-    grace: Duration,
-    /// When it was asked to end.
-    asked: watch::Sender<Option<Instant>>,
-    clients: Mutex<BTreeMap<u64, Arc<Connection>>>,
+    grace: Span,
+    /// When it was asked to end, and those that wait for that.
+    asked: OnceLock<At>,
+    told: Notify,
+    clients: Mutex<BTreeMap<u64, Arc<Connection<W>>>>,
     /// Ids of the ops in hand.
     open: Mutex<BTreeSet<String>>,
     freed: Notify,
 }
 
-/// One connection of a client.
-pub struct Connection {
-    clock: Clock,
-    stage: Mutex<Stage>,
-    /// The library has a head whose answer it has not been given yet.
-    owes_answer: AtomicBool,
-    /// Nothing behind the op that is coming will be read.
-    is_last: AtomicBool,
-    fault: Mutex<Option<Fault>>,
-    close: Notify,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// Since then no op has come whole, and none before it.
-    New(At),
-    Idle(At),
-    /// The first byte of an op came then.
-    Coming(At),
-    /// An op was read whole and is not answered yet.
-    Held,
-    /// Told to close: not chosen again.
-    Closing,
-}
-
-impl Connection {
-    fn stage(&self) -> MutexGuard<'_, Stage> {
-        self.stage.lock().expect("no panic while a stage is held")
-    }
-
-    pub fn begins_answer(&self, is_last: bool) {
-        self.owes_answer.store(true, Ordering::Relaxed);
-        self.is_last.fetch_or(is_last, Ordering::Relaxed);
-    }
-
-    pub fn owes_answer(&self) -> bool {
-        self.owes_answer.load(Ordering::Relaxed)
-    }
-
-    fn has_op(&self) -> bool {
-        *self.stage() == Stage::Held
-    }
-
-    /// A byte of an op has come.
-    pub fn begins(&self) {
-        let mut stage = self.stage();
-        match *stage {
-            Stage::New(at) => *stage = Stage::Coming(at),
-            Stage::Idle(_) => *stage = Stage::Coming(self.clock.now()),
-            _ => {}
-        }
-    }
-
-    fn rests(&self) {
-        *self.stage() = Stage::Idle(self.clock.now());
-    }
-
-    /// It is read no further, and told why once the library has let go of it.
-    pub fn turn_away(&self, fault: Fault) {
-        *self.fault.lock().expect("no panic while a fault is held") = Some(fault);
-    }
-
-    /// When its time is up, unless it moves on.
-    fn due(&self) -> At {
-        match *self.stage() {
-            Stage::New(at) | Stage::Coming(at) => at + SLOWEST_OP,
-            Stage::Idle(at) => at + IDLE,
-            Stage::Held | Stage::Closing => self.clock.now() + SLOWEST_OP,
-        }
-    }
-}
-
-impl Front {
+impl<W: World> Front<W> {
     pub fn new(
-        clock: Clock,
+        world: W,
         given: Arc<Given>,
         facade: Facade,
-        upstreams: Arc<Upstreams>,
+        upstreams: Arc<Upstreams<W>>,
         sockets: usize,
-        grace: Duration,
-    ) -> Arc<Front> {
+        grace: Span,
+    ) -> Arc<Front<W>> {
         Arc::new(Front {
-            clock,
+            world,
             given,
             facade,
             upstreams,
             most: sockets,
             grace,
-            asked: watch::Sender::new(None),
+            asked: OnceLock::new(),
+            told: Notify::new(),
             clients: Mutex::default(),
             open: Mutex::default(),
             freed: Notify::new(),
         })
     }
 
-    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Connection>>> {
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Connection<W>>>> {
         self.clients.lock().expect("no panic while the connections are held")
     }
 
@@ -185,20 +109,23 @@
     }
 
     fn is_draining(&self) -> bool {
-        self.asked.borrow().is_some()
+        self.asked.get().is_some()
     }
 
     /// Clients are told to go.
     fn is_parting(&self) -> bool {
-        self.asked.borrow().is_some_and(|asked| asked.elapsed() >= self.grace.mul_f64(STILL_SERVING))
+        self.asked.get().is_some_and(|&asked| self.world.now() - asked >= self.grace.times(STILL_SERVING))
     }
 
     /// Guards against ops that are still held when the platform's patience ends: then all is killed.
     async fn out_of_grace(&self) {
-        let mut asked = self.asked.subscribe();
-        let asked = asked.wait_for(Option::is_some).await.map_or(None, |asked| *asked);
-        match asked {
-            Some(asked) => tokio::time::sleep_until(asked + self.grace).await,
+        // From before the look on, so that nothing is told in between.
+        let told = self.told.notified();
+        if !self.is_draining() {
+            told.await;
+        }
+        match self.asked.get() {
+            Some(&asked) => self.world.sleep_until(asked + self.grace).await,
             None => std::future::pending().await,
         }
     }
@@ -207,8 +134,8 @@
     /// may connect and say nothing. One that has only just come, or brings an op slowly, is left alone a while.
     fn close_idle(&self, most: usize) {
         let clients = self.clients();
-        let now = self.clock.now();
-        let mut idle: Vec<(At, &Arc<Connection>)> = clients
+        let now = self.world.now();
+        let mut idle: Vec<(At, &Arc<Connection<W>>)> = clients
             .values()
             .filter_map(|client| match *client.stage() {
                 Stage::New(since) if now - since > LINGER.times(2.0) => Some((since - SLOWEST_OP, client)),
@@ -229,9 +156,8 @@
     /// Guards against clients that ask once and keep their connection: the platform lets clients have a part of the
     /// sockets, so that the usual ones could open no more long before ours run out.
     async fn keep_few_idle(&self) {
-        let mut look = tokio::time::interval(duration(LINGER.times(0.5)));
         loop {
-            look.tick().await;
+            self.world.sleep(duration(LINGER.times(0.5))).await;
             let over = self.clients().len().saturating_sub(self.given.sockets / 6);
             if over > 0 {
                 self.close_idle(over);
@@ -310,26 +236,26 @@
 }
 
 /// An op in hand. Tells the decisions that its client has gone, if its handling ends before its answer.
-struct Taken<'a> {
-    front: &'a Front,
+struct Taken<'a, W: World> {
+    front: &'a Front<W>,
     op: OpId,
     id: String,
 }
 
-impl Drop for Taken<'_> {
+impl<W: World> Drop for Taken<'_, W> {
     fn drop(&mut self) {
-        self.front.facade.report_gone(self.front.clock.now(), self.op);
+        self.front.facade.report_gone(self.front.world.now(), self.op);
         self.front.open().remove(&self.id);
     }
 }
 
-async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
+async fn ready<W: World>(State(front): State<Arc<Front<W>>>) -> StatusCode {
     if front.is_draining() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
 }
 
-async fn op(
-    State(front): State<Arc<Front>>,
-    Extension(client): Extension<Arc<Connection>>,
+async fn op<W: World>(
+    State(front): State<Arc<Front<W>>>,
+    Extension(client): Extension<Arc<Connection<W>>>,
     request: Request,
 ) -> Response {
     let answer = match read(&front, request).await {
@@ -340,12 +266,15 @@
     front.closing(answer)
 }
 
-async fn read(front: &Front, request: Request) -> Result<(NewOp, Parts, Bytes), (StatusCode, String)> {
+async fn read<W: World>(
+    front: &Front<W>,
+    request: Request,
+) -> Result<(NewOp, Parts, Bytes), (StatusCode, String)> {
     let (mut head, body) = request.into_parts();
     let bad = |fault| (StatusCode::BAD_REQUEST, fault);
     // First, so that what is read is what goes on.
     end_to_end(&mut head.headers);
-    head.extensions.remove::<Arc<Connection>>();
+    head.extensions.remove::<Arc<Connection<W>>>();
     // The body is held whole by then: nobody is to wait before sending it.
     head.headers.remove(header::EXPECT);
     head.version = Version::HTTP_11;
@@ -364,9 +293,9 @@
 }
 
 /// The life of an op, from its last byte to its final answer.
-async fn relay(
-    front: &Arc<Front>,
-    client: Arc<Connection>,
+async fn relay<W: World>(
+    front: &Arc<Front<W>>,
+    client: Arc<Connection<W>>,
     mut new: NewOp,
     head: Parts,
     body: Bytes,
@@ -377,10 +306,10 @@
         return (StatusCode::CONFLICT, format!("an op with this {ID} is in hand\n")).into_response();
     }
     // An op's time counts from its last byte.
-    let now = front.clock.now();
+    let now = front.world.now();
     new.time_left = Span((new.time_left.0 - MARGIN.0).max(0));
     let outgoing = Arc::new(Outgoing { head, body, ends: now + new.time_left });
-    let overdue = tokio::time::sleep(front.clock.until(outgoing.ends + OVERDUE));
+    let overdue = front.world.sleep_until(outgoing.ends + OVERDUE);
     let out_of_grace = front.out_of_grace();
     tokio::pin!(overdue, out_of_grace);
     let op = front.facade.take(now, new);
@@ -393,13 +322,13 @@
             Some(answer) = answers.recv() => return answer,
             next = front.facade.pick(op) => match next {
                 Next::Push(push) => {
-                    tokio::spawn(carry(front.clone(), push, outgoing.clone(), answered.clone()));
+                    front.world.spawn(carry(front.clone(), push, outgoing.clone(), answered.clone()));
                 }
                 Next::Nack(stay_away) => return nack(stay_away),
                 Next::DeadLetter => return dead_letter(),
             },
             () = &mut overdue => {
-                note!("op {} was not decided on in its time", op.0);
+                note!(front.world, "op {} was not decided on in its time", op.0);
                 return dead_letter();
             }
             () = &mut out_of_grace => return dead_letter(),
@@ -408,9 +337,14 @@
 }
 
 /// Makes one push and reports how it ended, also where the op is over or its client has gone.
-async fn carry(front: Arc<Front>, push: Push, outgoing: Arc<Outgoing>, answered: mpsc::Sender<Response>) {
+async fn carry<W: World>(
+    front: Arc<Front<W>>,
+    push: Push,
+    outgoing: Arc<Outgoing>,
+    answered: mpsc::Sender<Response>,
+) {
     let ending = front.upstreams.push(&front.facade, &push, &outgoing).await;
-    let is_final = front.facade.report(front.clock.now(), push, ending.meaning());
+    let is_final = front.facade.report(front.world.now(), push, ending.meaning());
     if let PushEnding::Answered(answer) = ending
         && is_final
     {
@@ -431,114 +365,99 @@
     (StatusCode::BAD_GATEWAY, "no answer, and it may have run\n").into_response()
 }
 
-/// Accepts until SIGTERM and for a while longer, and returns when everything taken is answered.
-pub async fn serve(front: Arc<Front>) -> Result<(), String> {
-    // Before anything can be taken that a signal must not lose.
-    let on = |kind| signal(kind).map_err(|error| format!("signals can't be waited for: {error}"));
-    let (mut terminate, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+/// Accepts until it is asked to end and for a while longer, and returns when everything taken is answered.
+pub async fn serve<W: World>(front: Arc<Front<W>>, ask: impl Future<Output = ()>) -> Result<(), String> {
+    let world = front.world.clone();
     let address = front.given.listen;
-    let listener = listen(address).map_err(|error| format!("{address}: {error}"))?;
-    let router = Router::new().route(READY, get(ready)).fallback(op).with_state(front.clone());
+    // The send buffer guards against an answer cut off by our closing, since the system has it whole.
+    let listener = world.listen(address, 2 * LARGEST_BODY as u32, BACKLOG);
+    let listener = listener.map_err(|error| format!("{address}: {error}"))?;
+    let router = Router::new().route(READY, get(ready::<W>)).fallback(op::<W>).with_state(front.clone());
     // The port may have been left to the system.
-    note!("serving on {}", listener.local_addr().unwrap_or(address));
+    note!(world, "serving on {}", listener.address().unwrap_or(address));
     let keeper = front.clone();
-    tokio::spawn(async move { keeper.keep_few_idle().await });
+    world.spawn(async move { keeper.keep_few_idle().await });
     let mut next = 0;
+    tokio::pin!(ask);
     loop {
         tokio::select! {
+            biased;
+            () = &mut ask => break,
             stream = accept(&listener, &front) => spawn(&front, &router, stream, &mut next),
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
         }
     }
-    note!("asked to end");
-    let asked = Instant::now();
-    front.asked.send_replace(Some(asked));
-    let mut look = tokio::time::interval(Duration::from_millis(20));
+    note!(world, "asked to end");
+    let asked = world.now();
+    front.asked.get_or_init(|| asked);
+    front.told.notify_waiters();
+    let mut look = asked;
     loop {
         tokio::select! {
-            stream = accept(&listener, &front) => spawn(&front, &router, stream, &mut next),
-            now = look.tick() => {
+            biased;
+            () = world.sleep_until(look) => {
+                look = world.now() + BETWEEN_LOOKS;
                 if !front.is_parting() {
                     continue;
                 }
-                let clients: Vec<Arc<Connection>> = front.clients().values().cloned().collect();
+                let clients: Vec<Arc<Connection<W>>> = front.clients().values().cloned().collect();
                 clients.iter().for_each(|client| client.close.notify_one());
-                if clients.is_empty() || now >= asked + front.grace + PARTING {
-                    note!("ended with {} connections open", clients.len());
+                if clients.is_empty() || world.now() >= asked + front.grace + PARTING {
+                    note!(world, "ended with {} connections open", clients.len());
                     return Ok(());
                 }
             }
+            stream = accept(&listener, &front) => spawn(&front, &router, stream, &mut next),
         }
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    // Connections take it over: guards against an answer cut off by our closing, since the system has it whole.
-    socket.set_send_buffer_size(2 * LARGEST_BODY as u32)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
-async fn accept(listener: &TcpListener, front: &Front) -> TcpStream {
+async fn accept<W: World>(listener: &W::Listener, front: &Front<W>) -> W::Stream {
     loop {
         if front.clients().len() >= front.most {
             front.close_idle(1);
         }
         if front.clients().len() >= front.most + front.most / 20 {
-            let _ = tokio::time::timeout(duration(LINGER), front.freed.notified()).await;
+            let _ = front.world.timeout(duration(LINGER), front.freed.notified()).await;
             continue;
         }
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok(stream) => return stream,
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(error) => {
                 // Most often no descriptor is free; a moment later one may be.
-                note!("a connection could not be accepted: {error}");
+                note!(front.world, "a connection could not be accepted: {error}");
                 front.close_idle(1);
-                tokio::time::sleep(Duration::from_millis(5)).await;
+                front.world.sleep(Duration::from_millis(5)).await;
             }
         }
     }
 }
 
-fn spawn(front: &Arc<Front>, router: &Router, stream: TcpStream, next: &mut u64) {
+fn spawn<W: World>(front: &Arc<Front<W>>, router: &Router, stream: W::Stream, next: &mut u64) {
     if front.is_short() {
         front.close_idle(1);
     }
-    let client = Arc::new(Connection {
-        clock: front.clock,
-        stage: Mutex::new(Stage::New(front.clock.now())),
-        owes_answer: AtomicBool::new(false),
-        is_last: AtomicBool::new(false),
-        fault: Mutex::default(),
-        close: Notify::new(),
-    });
+    let client = Arc::new(Connection::new(front.world.clone()));
     let number = *next;
     *next += 1;
     front.clients().insert(number, client.clone());
     let (front, router) = (front.clone(), router.clone());
-    tokio::spawn(async move {
-        converse(router, stream, &client).await;
+    front.world.clone().spawn(async move {
+        converse(&front.world, router, stream, &client).await;
         front.clients().remove(&number);
         front.freed.notify_one();
     });
 }
 
-async fn converse(router: Router, stream: TcpStream, client: &Arc<Connection>) {
-    let _ = stream.set_nodelay(true);
+async fn converse<W: World>(world: &W, router: Router, stream: W::Stream, client: &Arc<Connection<W>>) {
     let stream = Arc::new(stream);
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(client.clone());
         let answer = router.clone().call(request.map(Body::new));
         async move {
             let mut answer = answer.await;
-            client.rests();
-            client.owes_answer.store(false, Ordering::Relaxed);
-            if let Ok(answer) = &mut answer
-                && client.is_last.load(Ordering::Relaxed)
+            if client.rests()
+                && let Ok(answer) = &mut answer
             {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -558,8 +477,8 @@
                 biased;
                 _ = connection.as_mut() => break,
                 () = client.close.notified() => connection.as_mut().graceful_shutdown(),
-                () = tokio::time::sleep(client.clock.until(due)) => {
-                    if client.due() > client.clock.now() {
+                () = world.sleep_until(due) => {
+                    if client.due() > world.now() {
                         continue;
                     }
                     // Guards against clients that say nothing, or never come to an end of it.
@@ -572,7 +491,7 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => break,
-                () = tokio::time::sleep(duration(LINGER)) => {}
+                () = world.sleep(duration(LINGER)) => {}
             }
             // Guards against a client that reads nothing, or never begins what it opened the connection for.
             if !client.has_op() {
@@ -580,30 +499,27 @@
             }
         }
     }
-    part(&stream, client).await;
+    part(world, &*stream, client).await;
 }
 
 /// The last word on a connection that the library has let go of.
-async fn part(stream: &TcpStream, client: &Connection) {
-    let fault = client.fault.lock().expect("no panic while a fault is held").take();
-    if let Some((status, fault)) = fault {
+async fn part<W: World>(world: &W, stream: &W::Stream, client: &Connection<W>) {
+    if let Some((status, fault)) = client.fault() {
         let length = fault.len() + 1;
         let answer =
             format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{fault}\n");
         // It is the first thing written for a while: what does not fit would not be read either.
-        let _ = stream.try_write(answer.as_bytes());
+        let _ = stream.try_put(answer.as_bytes());
     }
-    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    stream.end_sending();
     let read_out = async {
         let (mut bytes, mut unread) = ([0; 4096], 0);
-        while unread < MOST_UNREAD && stream.readable().await.is_ok() {
-            match stream.try_read(&mut bytes) {
-                Ok(0) => return,
+        while unread < MOST_UNREAD {
+            match poll_fn(|cx| stream.poll_take(cx, &mut bytes)).await {
+                Ok(0) | Err(_) => return,
                 Ok(read) => unread += read,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
             }
         }
     };
-    let _ = tokio::time::timeout(duration(LINGER), read_out).await;
+    let _ = world.timeout(duration(LINGER), read_out).await;
 }
--- a/crates/balancer/src/given.rs
+++ b/crates/balancer/src/given.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::list::{List, ListAnswer};
+use crate::form::ListAnswer;
 
 pub struct Given {
     pub name: String,
@@ -75,7 +75,7 @@
     decode(&text).map(Arc::new).map_err(|fault| format!("{}: {fault}", path.display()))
 }
 
-fn decode(text: &str) -> Result<Given, String> {
+pub fn decode(text: &str) -> Result<Given, String> {
     let file: File = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let names = Names::deserialize(&file.settings).map_err(|error| format!("settings: {error}"))?;
     let mut facts = Facts::default();
@@ -126,22 +126,3 @@
         other => facts.put(path, &other.to_string()),
     }
 }
-
-impl Given {
-    pub fn summary(self: &Arc<Given>) -> String {
-        let mut list = List::new(self.clone());
-        let (rows, _) = list.rows(&self.known);
-        let mut text = format!(
-            "{} listens on {}: {} categories, {} tenants, {} sockets",
-            self.name,
-            self.listen,
-            self.categories.len(),
-            self.tenants.len(),
-            self.sockets
-        );
-        for (line, row) in self.known.servers.iter().zip(&rows) {
-            text += &format!("\n{}", line.told(row));
-        }
-        text
-    }
-}
--- a/crates/balancer/src/heads.rs
+++ b/crates/balancer/src/heads.rs
@@ -9,10 +9,10 @@
 
 use axum::http::StatusCode;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use tokio::net::TcpStream;
 
-use crate::front::Connection;
-use crate::upstreams::LARGEST_BODY;
+use crate::bodies::LARGEST_BODY;
+use crate::connection::{Connection, Fault};
+use crate::world::{Stream, World};
 
 /// Larger than any head in use; what grows beyond it is read no further.
 pub const LARGEST_HEAD: usize = 16 << 10;
@@ -20,38 +20,27 @@
 /// The length of an op in pieces, whose end only the library sees: nothing behind it is an op any more.
 const PIECES: usize = usize::MAX;
 
-/// Why a client's bytes are read no further, as it is told.
-pub type Fault = (StatusCode, &'static str);
-
 const BAD: StatusCode = StatusCode::BAD_REQUEST;
 
-pub struct Heads {
-    stream: Arc<TcpStream>,
-    client: Arc<Connection>,
+pub struct Heads<W: World> {
+    stream: Arc<W::Stream>,
+    client: Arc<Connection<W>>,
     /// Bytes that came and are not passed on yet: a head that is not whole, or what follows one.
     held: Vec<u8>,
     /// So many more bytes of what was looked at are passed on; then comes a head.
     left: usize,
 }
 
-impl Heads {
-    pub fn new(stream: Arc<TcpStream>, client: Arc<Connection>) -> Heads {
+impl<W: World> Heads<W> {
+    pub fn new(stream: Arc<W::Stream>, client: Arc<Connection<W>>) -> Heads<W> {
         Heads { stream, client, held: Vec::new(), left: 0 }
     }
 
     fn poll_more(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
         let mut bytes = [0; 4096];
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(&mut bytes) {
-                Ok(read) => {
-                    self.held.extend_from_slice(&bytes[..read]);
-                    return Poll::Ready(Ok(read));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        let read = ready!(self.stream.poll_take(cx, &mut bytes))?;
+        self.held.extend_from_slice(&bytes[..read]);
+        Poll::Ready(Ok(read))
     }
 
     fn pass(&mut self, most: usize, into: &mut ReadBufCursor) -> usize {
@@ -66,7 +55,7 @@
     }
 }
 
-impl Read for Heads {
+impl<W: World> Read for Heads<W> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut into: ReadBufCursor) -> Poll<io::Result<()>> {
         let heads = self.get_mut();
         while heads.left == 0 {
@@ -140,7 +129,7 @@
     }
 }
 
-impl Write for Heads {
+impl<W: World> Write for Heads<W> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
     }
@@ -163,12 +152,6 @@
         cx: &mut Context,
         bytes: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        self.stream.poll_put(cx, bytes)
     }
 }
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,16 @@
+//! The balancer as a library: the decisions carried out on connections, in whatever world the caller hands over.
+
+pub mod bodies;
+pub mod connection;
+pub mod endings;
+pub mod form;
+pub mod front;
+pub mod given;
+pub mod heads;
+pub mod list;
+pub mod log;
+pub mod ring;
+pub mod sockets;
+pub mod upstreams;
+pub mod whole;
+pub mod world;
--- a/crates/balancer/src/list.rs
+++ b/crates/balancer/src/list.rs
@@ -1,78 +1,61 @@
-//! The list of upstreams: its form, and the client that follows it by watches. It owns the ids that upstreams
+//! The list of upstreams, and the client that follows it by watches. It owns the ids that upstreams
 //! have inside, and the version last heard. It must never judge an upstream: it tells what the list says.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use axum::http::Uri;
 use bytes::Bytes;
 use doorproxy::facade::{Facade, News};
 use doorproxy::host::{Condition, Listing};
 use doorproxy::ids::{At, CellId, KindId, Span, UpstreamId, ZoneId};
 use doorproxy::rng::mix_text;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
-use serde::Deserialize;
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
-use crate::clock::{Clock, duration};
+use crate::form::{Line, ListAnswer, State};
 use crate::given::Given;
 use crate::note;
 use crate::upstreams::Upstreams;
+use crate::world::{ForLibraries, World, duration};
 
 /// A list of ten thousand upstreams fits; what is larger is no list.
 const LARGEST_ANSWER: usize = 4 << 20;
 /// A call that waits this much longer than it was asked to has been lost on the way.
 const OVERDUE: Duration = Duration::from_millis(2200);
 /// Guards against a list that answers at once with nothing new: a watch may pause for 200 ms.
-const LEAST_BETWEEN_CALLS: Duration = Duration::from_millis(100);
+const LEAST_BETWEEN_CALLS: Span = Span(1000);
 
-#[derive(Deserialize)]
-pub struct ListAnswer {
-    pub version: u64,
-    pub full: bool,
-    pub servers: Vec<Line>,
+/// Lines of the log that the decisions write name upstreams by the id inside.
+fn told(line: &Line, row: &Listing) -> String {
+    let (inside, name, address) = (row.upstream.0, &line.id, line.addr);
+    format!("upstream {inside} is {name} at {address}, {:?}", row.condition)
 }
 
-#[derive(Deserialize)]
-pub struct Line {
-    id: String,
-    addr: SocketAddr,
-    zone: String,
-    kind: String,
-    #[serde(default)]
-    cell: u16,
-    state: State,
-    #[serde(default = "one")]
-    weight: f64,
-    #[serde(default)]
-    started_ms: i64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Active,
-    Left,
-    /// A state that nobody has heard of is no invitation either.
-    #[serde(other)]
-    Leaving,
-}
-
-impl Line {
-    /// Lines of the log that the decisions write name upstreams by the id inside.
-    pub fn told(&self, row: &Listing) -> String {
-        let (inside, name, address) = (row.upstream.0, &self.id, self.addr);
-        format!("upstream {inside} is {name} at {address}, {:?}", row.condition)
+/// What a configuration holds, to be read by people.
+pub fn summary(given: &Arc<Given>) -> String {
+    let (rows, _) = List::new(given.clone()).rows(&given.known);
+    let mut text = format!(
+        "{} listens on {}: {} categories, {} tenants, {} sockets",
+        given.name,
+        given.listen,
+        given.categories.len(),
+        given.tenants.len(),
+        given.sockets
+    );
+    for (line, row) in given.known.servers.iter().zip(&rows) {
+        text += &format!("\n{}", told(line, row));
     }
+    text
 }
 
 pub struct List {
@@ -127,11 +110,11 @@
 
     /// Says in the log what has changed: a list that comes whole may hold nothing new. What is gone is forgotten
     /// then, for upstreams are replaced all day.
-    pub fn tell(&mut self, answer: &ListAnswer, rows: &[Listing]) {
+    pub fn tell<W: World>(&mut self, world: &W, answer: &ListAnswer, rows: &[Listing]) {
         for (line, row) in answer.servers.iter().zip(rows) {
             let news = (row.condition, line.addr);
             if self.told.insert(row.upstream, news) != Some(news) {
-                note!("list: {}", line.told(row));
+                note!(*world, "list: {}", told(line, row));
             }
         }
         let listed: BTreeSet<UpstreamId> = rows.iter().map(|row| row.upstream).collect();
@@ -156,30 +139,29 @@
 }
 
 /// Keeps a watch open for as long as calls succeed; after one that failed, the decisions say when to go on.
-pub async fn follow(
-    clock: Clock,
+pub async fn follow<W: World>(
+    world: W,
     mut list: List,
     facade: Facade,
-    upstreams: Arc<Upstreams>,
+    upstreams: Arc<Upstreams<W>>,
     mut source: watch::Receiver<SocketAddr>,
 ) {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(OVERDUE));
-    connector.set_nodelay(true);
-    let client = Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
+    let client = Client::builder(ForLibraries(world.clone()))
+        .pool_timer(ForLibraries(world.clone()))
         .retry_canceled_requests(false)
-        .build(connector);
+        .build(Dial(world.clone()));
     loop {
         tokio::select! {
+            biased;
             () = facade.watch_wanted() => {}
             Ok(()) = source.changed() => list.version = None,
         }
         loop {
-            let called = Instant::now();
+            let called = world.now();
             let address = *source.borrow_and_update();
             let answer = tokio::select! {
-                answer = call(&client, &list, address) => answer,
+                biased;
+                answer = call(&world, &client, &list, address) => answer,
                 // Guards against a watch on a service that has been replaced: it may never tell anything again,
                 // and versions of the one mean nothing to the other.
                 Ok(()) = source.changed() => {
@@ -190,15 +172,15 @@
             match answer {
                 Ok(answer) => {
                     let (rows, addresses) = list.rows(&answer);
-                    list.tell(&answer, &rows);
+                    list.tell(&world, &answer, &rows);
                     upstreams.follow(&rows, &addresses, answer.full);
                     let news = if answer.full { News::Whole(&rows) } else { News::Changes(&rows) };
-                    facade.tick(clock.now(), news);
-                    tokio::time::sleep_until(called + LEAST_BETWEEN_CALLS).await;
+                    facade.tick(world.now(), news);
+                    world.sleep_until(called + LEAST_BETWEEN_CALLS).await;
                 }
                 Err(fault) => {
-                    note!("the list could not be read: {fault}");
-                    facade.tick(clock.now(), News::CallFailed);
+                    note!(world, "the list could not be read: {fault}");
+                    facade.tick(world.now(), News::CallFailed);
                     break;
                 }
             }
@@ -206,8 +188,9 @@
     }
 }
 
-async fn call(
-    client: &Client<HttpConnector, Empty<Bytes>>,
+async fn call<W: World>(
+    world: &W,
+    client: &Client<Dial<W>, Empty<Bytes>>,
     list: &List,
     address: SocketAddr,
 ) -> Result<ListAnswer, String> {
@@ -225,6 +208,57 @@
         serde_json::from_slice(&body.map_err(|error| error.to_string())?.to_bytes())
             .map_err(|error| error.to_string())
     };
-    let answer = tokio::time::timeout(list.wait + OVERDUE, exchange).await;
-    answer.unwrap_or_else(|_| Err("no answer".to_string()))
+    world.timeout(list.wait + OVERDUE, exchange).await.unwrap_or_else(|| Err("no answer".to_string()))
+}
+
+/// Connections to wherever the list is served.
+#[derive(Clone)]
+struct Dial<W>(W);
+
+impl<W: World> tower_service::Service<Uri> for Dial<W> {
+    type Response = Plain<W::Stream>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let world = self.0.clone();
+        Box::pin(async move {
+            let address = uri.authority().and_then(|authority| authority.as_str().parse().ok());
+            let address: SocketAddr = address.ok_or(io::ErrorKind::InvalidInput)?;
+            let connected = world.timeout(OVERDUE, world.connect(address)).await;
+            connected.unwrap_or(Err(io::ErrorKind::TimedOut.into())).map(Plain)
+        })
+    }
+}
+
+struct Plain<S>(S);
+
+impl<S> Connection for Plain<S> {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl<S: Read + Unpin> Read for Plain<S> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: ReadBufCursor) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, into)
+    }
+}
+
+impl<S: Write + Unpin> Write for Plain<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
 }
--- a/crates/balancer/src/log.rs
+++ b/crates/balancer/src/log.rs
@@ -1,6 +1,7 @@
-//! The log: lines on standard error behind one macro. It must never hold up an op or end the balancer: a thread
+//! The log of a balancer that serves: lines on standard error. It must never hold up an op or end the balancer: a thread
 //! of its own writes the lines, a storm of them is cut to a few a second, and how many were left out is said.
 
+use std::fmt::Arguments;
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
 }
 
 /// Whether one more line may be written now, and how many were left out since the last that was.
-pub fn admit() -> Option<u32> {
+fn admit() -> Option<u32> {
     let mut second = SECOND.lock().ok()?;
     let now = Instant::now();
     let mut left_out = 0;
@@ -37,7 +38,7 @@
     (second.lines <= LINES_A_SECOND).then_some(left_out)
 }
 
-pub fn write(line: String) {
+fn write(line: String) {
     let start = || {
         let (entries, written) = sync_channel(LINES_HELD);
         let print = move || {
@@ -66,14 +67,11 @@
     }
 }
 
-#[macro_export]
-macro_rules! note {
-    ($($line:tt)*) => {
-        if let Some(left_out) = $crate::log::admit() {
-            if left_out > 0 {
-                $crate::log::write(format!("{left_out} lines left out"));
-            }
-            $crate::log::write(format!($($line)*));
+pub fn note(line: Arguments) {
+    if let Some(left_out) = admit() {
+        if left_out > 0 {
+            write(format!("{left_out} lines left out"));
         }
-    };
+        write(line.to_string());
+    }
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -1,31 +1,17 @@
-//! The command line of the balancer: it reads the configuration, at the start and on SIGHUP, and puts the parts
-//! together. It must never know what the parts do.
-
-mod clock;
-mod endings;
-mod front;
-mod given;
-mod heads;
-mod list;
-mod log;
-mod upstreams;
+//! The command line of the balancer: it reads the configuration, at the start and on SIGHUP, and waits for signals.
+//! It must never know what the parts do.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
 
 use argh::FromArgs;
-use doorproxy::facade::{Facade, News};
+use doorproxy::ids::Span;
+use doorproxy_balancer::sockets::Sockets;
+use doorproxy_balancer::{given, list, log, note, whole};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use clock::Clock;
-use front::Front;
-use list::List;
-use upstreams::{Outlet, Upstreams};
-
 /// A load balancer for fleets of HTTP servers.
 #[derive(FromArgs)]
 struct Arguments {
@@ -71,11 +57,11 @@
     let Arguments { command } = argh::from_env();
     let done = match command {
         Command::Serve(Serve { config, grace_ms }) => {
-            given::path(config).and_then(|config| serve(config, Duration::from_millis(grace_ms)))
+            given::path(config).and_then(|config| serve(config, Span(grace_ms as i64 * 10)))
         }
         Command::Check(Check { config }) => given::path(config)
             .and_then(|config| given::read(&config))
-            .map(|given| println!("{}", given.summary())),
+            .map(|given| println!("{}", list::summary(&given))),
         Command::Version(Version {}) => {
             println!("doorproxy {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -90,7 +76,7 @@
     }
 }
 
-fn serve(config: PathBuf, grace: Duration) -> Result<(), String> {
+fn serve(config: PathBuf, grace: Span) -> Result<(), String> {
     let given = given::read(&config)?;
     // Guards against a balancer that runs on with decisions half made: restarted at once, it loses less. A log
     // that nobody reads any more is no reason to end.
@@ -106,26 +92,20 @@
         .build()
         .map_err(|error| format!("the runtime could not start: {error}"))?;
     let served = runtime.block_on(async {
-        // Before anything else: unheeded, it ends the process.
-        let reloads = signal(SignalKind::hangup()).map_err(|error| format!("no signals: {error}"))?;
-        let clock = Clock::start();
-        // The rest is for the list, the log and what the runtime itself opens.
-        let upstreams = Arc::new(Upstreams::new(clock, &given, given.sockets * 5 / 16));
-        let outlet = Box::new(Outlet(upstreams.clone()));
-        let facade = Facade::new(clock.now(), given.seed, given.terms.clone(), outlet);
-        let mut list = List::new(given.clone());
-        let (rows, addresses) = list.rows(&given.known);
-        list.tell(&given.known, &rows);
-        upstreams.follow(&rows, &addresses, true);
-        facade.tick(clock.now(), News::Whole(&rows));
-        tokio::spawn(clock::ring(clock, facade.clone()));
+        // Before anything else: unheeded, they end the process.
+        let on = |kind| signal(kind).map_err(|error| format!("signals can't be waited for: {error}"));
+        let reloads = on(SignalKind::hangup())?;
+        let (mut terminate, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+        let ask = async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        let world = Sockets::start();
         let (source, of_list) = watch::channel(given.discovery);
-        tokio::spawn(list::follow(clock, list, facade.clone(), upstreams.clone(), of_list));
-        tokio::spawn(reload(config, reloads, source));
-        let sockets = given.sockets * 10 / 16;
-        // The platform kills the process so long after SIGTERM as an op may take, where that is less.
-        let grace = grace.min(clock::duration(given.terms.longest_ttl()));
-        front::serve(Front::new(clock, given, facade, upstreams, sockets, grace)).await
+        tokio::spawn(reload(world, config, reloads, source));
+        whole::serve(world, given, of_list, grace, ask).await
     });
     log::finish();
     served
@@ -133,15 +113,15 @@
 
 /// On SIGHUP the list is taken from where the file now says. All else holds until the next start: ops in hand
 /// were taken under it.
-async fn reload(config: PathBuf, mut reloads: Signal, source: watch::Sender<SocketAddr>) {
+async fn reload(world: Sockets, config: PathBuf, mut reloads: Signal, source: watch::Sender<SocketAddr>) {
     while reloads.recv().await.is_some() {
         match given::read(&config) {
             Ok(given) => {
-                note!("configuration read again: the list is at {}", given.discovery);
+                note!(world, "configuration read again: the list is at {}", given.discovery);
                 source.send_if_modified(|known| std::mem::replace(known, given.discovery) != given.discovery);
             }
             // Guards against a file that is being replaced, or was spoilt: the old one has served so far.
-            Err(fault) => note!("configuration kept as it was: {fault}"),
+            Err(fault) => note!(world, "configuration kept as it was: {fault}"),
         }
     }
 }
--- /dev/null
+++ b/crates/balancer/src/sockets.rs
@@ -0,0 +1,161 @@
+//! The world of a balancer that serves: the system's clock and sockets, and tokio's tasks. It must never add
+//! anything of its own to what they do.
+
+use std::fmt::Arguments;
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use doorproxy::ids::At;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::log;
+use crate::world::{Listener, Stream, World};
+
+/// Counted on from the start by the monotonic clock: a step of the system's clock must not end every op at once.
+#[derive(Clone, Copy)]
+pub struct Sockets {
+    unix: Duration,
+    start: Instant,
+}
+
+impl Sockets {
+    pub fn start() -> Sockets {
+        Sockets {
+            unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+            start: Instant::now(),
+        }
+    }
+}
+
+impl World for Sockets {
+    type Stream = Socket;
+    type Listener = Listening;
+
+    fn now(&self) -> At {
+        At(((self.unix + self.start.elapsed()).as_micros() / 100) as i64)
+    }
+
+    fn instant(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
+        tokio::time::sleep(time)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        tokio::spawn(task);
+    }
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<Socket> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(Socket(TokioIo::new(stream)))
+    }
+
+    fn listen(&self, at: SocketAddr, send_buffer: u32, backlog: u32) -> io::Result<Listening> {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        // Connections take it over from the one that listens.
+        socket.set_send_buffer_size(send_buffer)?;
+        socket.bind(at)?;
+        socket.listen(backlog).map(Listening)
+    }
+
+    fn log(&self, line: Arguments) {
+        log::note(line);
+    }
+}
+
+pub struct Listening(TcpListener);
+
+impl Listener for Listening {
+    type Stream = Socket;
+
+    async fn accept(&self) -> io::Result<Socket> {
+        let (stream, _) = self.0.accept().await?;
+        let _ = stream.set_nodelay(true);
+        Ok(Socket(TokioIo::new(stream)))
+    }
+
+    fn address(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
+pub struct Socket(TokioIo<TcpStream>);
+
+impl Stream for Socket {
+    fn poll_take(&self, cx: &mut Context, into: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.inner().poll_read_ready(cx))?;
+            match self.0.inner().try_read(into) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+
+    fn poll_put(&self, cx: &mut Context, bytes: &[IoSlice]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.inner().poll_write_ready(cx))?;
+            match self.0.inner().try_write_vectored(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn try_put(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.inner().try_write(bytes)
+    }
+
+    fn end_sending(&self) {
+        let _ = SockRef::from(self.0.inner()).shutdown(Shutdown::Write);
+    }
+
+    fn is_quiet(&self) -> bool {
+        let waiting = SockRef::from(self.0.inner()).peek(&mut [MaybeUninit::uninit()]);
+        waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: ReadBufCursor) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, into)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bytes: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bytes)
+    }
+}
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,31 +11,25 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use axum::BoxError;
-use axum::http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri, Version, header, request};
+use axum::http::{HeaderName, HeaderValue, Request, StatusCode, Uri, Version, header, request};
 use axum::response::Response;
 use bytes::Bytes;
 use doorproxy::facade::{Facade, Outlets, Push};
 use doorproxy::host::{Condition, Listing};
 use doorproxy::ids::{At, UpstreamId};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::Instant;
 
-use crate::clock::{Clock, duration};
+use crate::bodies::{BodyFault, LARGEST_BODY, end_to_end, held_whole};
 use crate::endings::PushEnding;
 use crate::given::Given;
 use crate::note;
+use crate::world::{ForLibraries, Stream, World, duration};
 
-/// The largest body that goes either way; each is held whole.
-pub const LARGEST_BODY: usize = 64 << 10;
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("req-deadline-ms");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 /// With fewer sockets left than these, idle connections are closed for those that are needed.
@@ -51,25 +44,25 @@
     pub ends: At,
 }
 
-pub struct Upstreams {
-    clock: Clock,
+pub struct Upstreams<W: World> {
+    world: W,
     connect_timeout: Duration,
     idle: Duration,
     sockets: Arc<Semaphore>,
-    by_id: Mutex<BTreeMap<UpstreamId, Upstream>>,
+    by_id: Mutex<BTreeMap<UpstreamId, Upstream<W>>>,
 }
 
-struct Upstream {
+struct Upstream<W: World> {
     address: SocketAddr,
-    client: Client<Connector, Full<Bytes>>,
+    client: Client<Connector<W>, Full<Bytes>>,
     /// When anything last came from it.
     heard_at: Option<At>,
 }
 
 /// What the decisions ask of the connections and the log on their own.
-pub struct Outlet(pub Arc<Upstreams>);
+pub struct Outlet<W: World>(pub Arc<Upstreams<W>>);
 
-impl Outlets for Outlet {
+impl<W: World> Outlets for Outlet<W> {
     fn close_idle(&mut self, upstream: UpstreamId) {
         if let Some(upstream) = self.0.lock().get_mut(&upstream) {
             self.0.drop_idle(upstream);
@@ -77,14 +70,14 @@
     }
 
     fn log(&mut self, line: &str) {
-        note!("{line}");
+        note!(self.0.world, "{line}");
     }
 }
 
-impl Upstreams {
-    pub fn new(clock: Clock, given: &Given, sockets: usize) -> Upstreams {
+impl<W: World> Upstreams<W> {
+    pub fn new(world: W, given: &Given, sockets: usize) -> Upstreams<W> {
         Upstreams {
-            clock,
+            world,
             connect_timeout: duration(given.connect_timeout),
             // Well before the upstream closes it: an op written to a connection that it has closed is broken.
             idle: duration(given.keepalive.times(0.5)),
@@ -93,14 +86,15 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Upstream>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Upstream<W>>> {
         self.by_id.lock().expect("no panic while the pools are held")
     }
 
-    fn client(&self, address: SocketAddr) -> Client<Connector, Full<Bytes>> {
-        let connector = Connector { address, timeout: self.connect_timeout, sockets: self.sockets.clone() };
-        Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
+    fn client(&self, address: SocketAddr) -> Client<Connector<W>, Full<Bytes>> {
+        let (world, sockets) = (self.world.clone(), self.sockets.clone());
+        let connector = Connector { world, address, timeout: self.connect_timeout, sockets };
+        Client::builder(ForLibraries(self.world.clone()))
+            .pool_timer(ForLibraries(self.world.clone()))
             .pool_idle_timeout(self.idle)
             // Whether an op goes out again is not for a library to decide.
             .retry_canceled_requests(false)
@@ -110,7 +104,7 @@
     }
 
     /// A pool closes what is idle in it when it goes; pushes still out hold on to their own connections.
-    fn drop_idle(&self, upstream: &mut Upstream) {
+    fn drop_idle(&self, upstream: &mut Upstream<W>) {
         upstream.client = self.client(upstream.address);
     }
 
@@ -131,7 +125,7 @@
     }
 
     pub async fn push(&self, facade: &Facade, push: &Push, outgoing: &Outgoing) -> PushEnding {
-        let began = self.clock.now();
+        let began = self.world.now();
         let left = duration(outgoing.ends - began);
         if left.is_zero() {
             return PushEnding::NeverSent;
@@ -146,9 +140,9 @@
         let ending = tokio::select! {
             biased;
             () = facade.called_off(push) => PushEnding::CalledOff,
-            ending = exchange(client, request, &captured) => ending,
-            () = stalls(&captured, self.connect_timeout * 2) => PushEnding::Broken,
-            () = tokio::time::sleep(left) => PushEnding::TimedOut,
+            ending = exchange(&self.world, client, request, &captured) => ending,
+            () = stalls(&self.world, &captured, self.connect_timeout * 2) => PushEnding::Broken,
+            () = self.world.sleep(left) => PushEnding::TimedOut,
         };
         self.remember(push.upstream, began, &ending);
         ending
@@ -160,7 +154,7 @@
     fn remember(&self, upstream: UpstreamId, began: At, ending: &PushEnding) {
         let mut by_id = self.lock();
         let Some(upstream) = by_id.get_mut(&upstream) else { return };
-        let now = self.clock.now();
+        let now = self.world.now();
         let is_long = |since: At| duration(now - since) > self.connect_timeout;
         let is_mute = upstream.heard_at.is_none_or(|heard| heard < began && is_long(heard));
         match ending {
@@ -188,33 +182,9 @@
     Some(Request::from_parts(head, Full::new(outgoing.body.clone())))
 }
 
-/// Takes out what concerns one connection only, by RFC 9110.
-pub fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let always = [
-        header::CONNECTION,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in named.iter().chain(&always) {
-        headers.remove(name);
-    }
-}
-
-async fn exchange(
-    client: Client<Connector, Full<Bytes>>,
+async fn exchange<W: World>(
+    world: &W,
+    client: Client<Connector<W>, Full<Bytes>>,
     request: Request<Full<Bytes>>,
     captured: &CaptureConnection,
 ) -> PushEnding {
@@ -233,35 +203,14 @@
     }
     let has_word = answer.headers().get(DECLINED).is_some_and(|value| value == "1");
     // Nobody waits for the rest: a failure is not to be told late for it.
-    tokio::spawn(tokio::time::timeout(REST_OF_ANSWER, held_whole(answer.into_body())));
+    let (of_rest, rest) = (world.clone(), held_whole(answer.into_body()));
+    world.spawn(async move { drop(of_rest.timeout(REST_OF_ANSWER, rest).await) });
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if has_word => PushEnding::Declined,
         _ => PushEnding::Failed,
     }
 }
 
-/// Why a body is not held whole.
-pub enum BodyFault {
-    TooLarge,
-    Broken,
-}
-
-/// Turns away what is announced as too large before any of it is read.
-pub async fn held_whole<B>(body: B) -> Result<Bytes, BodyFault>
-where
-    B: Body,
-    B::Error: Into<BoxError>,
-{
-    if body.size_hint().lower() > LARGEST_BODY as u64 {
-        return Err(BodyFault::TooLarge);
-    }
-    match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
-        Err(_) => Err(BodyFault::Broken),
-    }
-}
-
 /// Guards against passing on the beginning of an answer as if it were whole.
 async fn whole(answer: Response<Incoming>) -> PushEnding {
     let (mut head, body) = answer.into_parts();
@@ -299,41 +248,43 @@
 }
 
 /// Guards against an answer that begins and never ends: it would hold its op until the client's time is over.
-async fn stalls(captured: &CaptureConnection, longest: Duration) {
+async fn stalls<W: World>(world: &W, captured: &CaptureConnection, longest: Duration) {
     loop {
-        tokio::time::sleep(longest / 2).await;
+        world.sleep(longest / 2).await;
         let heard = marks(captured).and_then(|marks| *marks.heard());
-        if heard.is_some_and(|heard| heard.elapsed() >= longest) {
+        if heard.is_some_and(|heard| duration(world.now() - heard) >= longest) {
             return;
         }
     }
 }
 
 #[derive(Clone)]
-struct Connector {
+struct Connector<W> {
+    world: W,
     address: SocketAddr,
     timeout: Duration,
     sockets: Arc<Semaphore>,
 }
 
-impl tower_service::Service<Uri> for Connector {
-    type Response = Wire;
+impl<W: World> tower_service::Service<Uri> for Connector<W> {
+    type Response = Wire<W>;
     type Error = io::Error;
-    type Future = Pin<Box<dyn Future<Output = io::Result<Wire>> + Send>>;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Wire<W>>> + Send>>;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, _: Uri) -> Self::Future {
-        let Connector { address, timeout, sockets } = self.clone();
-        let connect = async move {
-            let held = sockets.acquire_owned().await.map_err(io::Error::other)?;
-            let stream = TcpStream::connect(address).await?;
-            stream.set_nodelay(true)?;
-            Ok(Wire { stream: TokioIo::new(stream), marks: Arc::default(), between: true, _held: held })
-        };
-        Box::pin(async move { tokio::time::timeout(timeout, connect).await? })
+        let Connector { world, address, timeout, sockets } = self.clone();
+        Box::pin(async move {
+            let connect = async {
+                let held = sockets.acquire_owned().await.map_err(io::Error::other)?;
+                let stream = world.connect(address).await?;
+                Ok(Wire { world: world.clone(), stream, marks: Arc::default(), between: true, _held: held })
+            };
+            world.timeout(timeout, connect).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+        })
     }
 }
 
@@ -345,33 +296,33 @@
     /// An op was begun on it.
     was_used: AtomicBool,
     /// When the last byte of the answer came, once it has begun.
-    heard: Mutex<Option<Instant>>,
+    heard: Mutex<Option<At>>,
 }
 
 impl Marks {
-    fn heard(&self) -> MutexGuard<'_, Option<Instant>> {
+    fn heard(&self) -> MutexGuard<'_, Option<At>> {
         self.heard.lock().expect("no panic while it is held")
     }
 }
 
 /// A connection to an upstream, and its part of the sockets.
-struct Wire {
-    stream: TokioIo<TcpStream>,
+struct Wire<W: World> {
+    world: W,
+    stream: W::Stream,
     marks: Arc<Marks>,
     /// Nothing was written since the last answer.
     between: bool,
     _held: OwnedSemaphorePermit,
 }
 
-impl Wire {
+impl<W: World> Wire<W> {
     /// Guards against an op written to a connection that has ended, which may then have run for all that anybody
     /// knows, and against what came behind an answer and would pass for the next one's. The system is asked:
     /// what the runtime knows is older.
     fn begin(&mut self) -> io::Result<()> {
         if std::mem::take(&mut self.between) {
             *self.marks.heard() = None;
-            let waiting = SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]);
-            if !waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+            if !self.stream.is_quiet() {
                 self.marks.write_failed.store(true, Ordering::Relaxed);
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
@@ -388,24 +339,24 @@
     }
 }
 
-impl Connection for Wire {
+impl<W: World> Connection for Wire<W> {
     fn connected(&self) -> Connected {
         Connected::new().extra(self.marks.clone())
     }
 }
 
-impl Read for Wire {
+impl<W: World> Read for Wire<W> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: ReadBufCursor) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(cx, into);
         if read.is_ready() {
             self.between = true;
-            *self.marks.heard() = Some(Instant::now());
+            *self.marks.heard() = Some(self.world.now());
         }
         read
     }
 }
 
-impl Write for Wire {
+impl<W: World> Write for Wire<W> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.begin()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
@@ -442,6 +393,7 @@
     use expect_test::expect;
 
     use super::*;
+    use crate::sockets::Sockets;
 
     #[tokio::test]
     async fn no_op_is_written_where_something_waits_or_the_connection_has_ended() {
@@ -449,11 +401,11 @@
         let sockets = Arc::new(Semaphore::new(8));
         let mut trace = String::new();
         for behind in ["nothing", "an answer", "the end"] {
-            let ours = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let world = Sockets::start();
+            let stream = world.connect(listener.local_addr().unwrap()).await.unwrap();
             let mut theirs = Some(listener.accept().unwrap().0);
             let held = sockets.clone().acquire_owned().await.unwrap();
-            let mut wire =
-                Wire { stream: TokioIo::new(ours), marks: Arc::default(), between: true, _held: held };
+            let mut wire = Wire { world, stream, marks: Arc::default(), between: true, _held: held };
             match behind {
                 "an answer" => theirs.as_mut().unwrap().write_all(b"HTTP/1.1 200 OK").unwrap(),
                 "the end" => drop(theirs.take()),
--- /dev/null
+++ b/crates/balancer/src/world.rs
@@ -0,0 +1,141 @@
+//! What the balancer asks of the world it runs in: the time, tasks, connections, and somewhere to log. The same code
+//! runs on the system's sockets and clock ([`crate::sockets`]) and on virtual ones. It must never know in which.
+
+use std::fmt::Arguments;
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use doorproxy::ids::{At, Span};
+use hyper::rt::{Executor, Read, Sleep, Timer, Write};
+
+pub trait World: Clone + Send + Sync + Unpin + 'static {
+    type Stream: Stream;
+    type Listener: Listener<Stream = Self::Stream>;
+
+    /// Unix time, so that start times in the list compare with it; it never steps.
+    fn now(&self) -> At;
+
+    /// The same clock as libraries read it.
+    fn instant(&self) -> Instant;
+
+    fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static;
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static);
+
+    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+
+    /// Connections that are accepted have so large a send buffer, and so many wait to be.
+    fn listen(&self, at: SocketAddr, send_buffer: u32, backlog: u32) -> io::Result<Self::Listener>;
+
+    /// Never holds up the caller.
+    fn log(&self, line: Arguments);
+
+    fn until(&self, at: At) -> Duration {
+        duration(at - self.now())
+    }
+
+    fn sleep_until(&self, at: At) -> impl Future<Output = ()> + Send + Sync + 'static {
+        self.sleep(self.until(at))
+    }
+
+    /// None where it took longer.
+    fn timeout<F: Future + Send>(
+        &self,
+        limit: Duration,
+        call: F,
+    ) -> impl Future<Output = Option<F::Output>> + Send
+    where
+        F::Output: Send,
+    {
+        let sleep = self.sleep(limit);
+        async move {
+            tokio::select! {
+                biased;
+                done = call => Some(done),
+                () = sleep => None,
+            }
+        }
+    }
+}
+
+/// A connection. Libraries own it and use it as what hyper reads and writes; where two share it, they use the rest.
+pub trait Stream: Read + Write + Unpin + Send + Sync + 'static {
+    /// 0 where the other side has ended its sending.
+    fn poll_take(&self, cx: &mut Context, into: &mut [u8]) -> Poll<io::Result<usize>>;
+
+    fn poll_put(&self, cx: &mut Context, bytes: &[IoSlice]) -> Poll<io::Result<usize>>;
+
+    /// What fits at once.
+    fn try_put(&self, bytes: &[u8]) -> io::Result<usize>;
+
+    /// Ends the sending; what was written still goes out.
+    fn end_sending(&self);
+
+    /// Nothing waits to be read, no end and no fault either. The system is asked anew.
+    fn is_quiet(&self) -> bool;
+}
+
+pub trait Listener: Send + Sync + 'static {
+    type Stream: Stream;
+
+    fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+
+    fn address(&self) -> io::Result<SocketAddr>;
+}
+
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0.max(0) as u64 * 100)
+}
+
+#[macro_export]
+macro_rules! note {
+    ($world:expr, $($line:tt)*) => {
+        $crate::world::World::log(&$world, format_args!($($line)*))
+    };
+}
+
+/// The world as hyper's libraries ask for it.
+#[derive(Clone)]
+pub struct ForLibraries<W>(pub W);
+
+impl<W: World, F> Executor<F> for ForLibraries<W>
+where
+    F: Future + Send + 'static,
+    F::Output: Send,
+{
+    fn execute(&self, task: F) {
+        self.0.spawn(async move {
+            task.await;
+        });
+    }
+}
+
+struct Nap(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
+
+impl Future for Nap {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<()> {
+        self.0.as_mut().poll(cx)
+    }
+}
+
+impl Sleep for Nap {}
+
+impl<W: World> Timer for ForLibraries<W> {
+    fn sleep(&self, time: Duration) -> Pin<Box<dyn Sleep>> {
+        Box::pin(Nap(Box::pin(self.0.sleep(time))))
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        Timer::sleep(self, deadline.saturating_duration_since(self.0.instant()))
+    }
+
+    fn now(&self) -> Instant {
+        self.0.instant()
+    }
+}
