--- a/crates/balancer/src/endings.rs
+++ b/crates/balancer/src/endings.rs
@@ -30,6 +30,36 @@
 }
 
 impl PushEnding {
+    /// All of them, as they are told to people.
+    pub const NAMES: [&str; 10] = [
+        "answered",
+        "declined",
+        "failed",
+        "too long",
+        "no connection",
+        "broken before sent",
+        "broken",
+        "timed out",
+        "called off",
+        "never sent",
+    ];
+
+    pub fn name(&self) -> &'static str {
+        let place = match self {
+            PushEnding::Answered(_) => 0,
+            PushEnding::Declined => 1,
+            PushEnding::Failed => 2,
+            PushEnding::TooLong => 3,
+            PushEnding::NoConnection => 4,
+            PushEnding::BrokenBeforeSent => 5,
+            PushEnding::Broken => 6,
+            PushEnding::TimedOut => 7,
+            PushEnding::CalledOff => 8,
+            PushEnding::NeverSent => 9,
+        };
+        PushEnding::NAMES[place]
+    }
+
     pub fn meaning(&self) -> Ending {
         match self {
             PushEnding::Answered(_) => Ending::Acked,
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -344,6 +344,7 @@
     answered: mpsc::Sender<Response>,
 ) {
     let ending = front.upstreams.push(&front.facade, &push, &outgoing).await;
+    front.world.push_ended(ending.name());
     let is_final = front.facade.report(front.world.now(), push, ending.meaning());
     if let PushEnding::Answered(answer) = ending
         && is_final
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -105,7 +105,8 @@
         let world = Sockets::start();
         let (source, of_list) = watch::channel(given.discovery);
         tokio::spawn(reload(world, config, reloads, source));
-        whole::serve(world, given, of_list, grace, ask).await
+        let parts = whole::parts(&world, &given);
+        whole::serve(world, parts, given, of_list, grace, ask).await
     });
     log::finish();
     served
--- a/crates/balancer/src/whole.rs
+++ b/crates/balancer/src/whole.rs
@@ -15,18 +15,23 @@
 use crate::upstreams::{Outlet, Upstreams};
 use crate::world::World;
 
+/// The decisions of one balancer, and the connections on which they are carried out.
+pub fn parts<W: World>(world: &W, given: &Given) -> (Facade, Arc<Upstreams<W>>) {
+    // The rest is for the list, the log and what the runtime itself opens.
+    let upstreams = Arc::new(Upstreams::new(world.clone(), given, given.sockets * 5 / 16));
+    let outlet = Box::new(Outlet(upstreams.clone()));
+    (Facade::new(world.now(), given.seed, given.terms.clone(), outlet), upstreams)
+}
+
 /// Serves until it is asked to end, then finishes what was taken. The list is followed to wherever the source says.
 pub async fn serve<W: World>(
     world: W,
+    (facade, upstreams): (Facade, Arc<Upstreams<W>>),
     given: Arc<Given>,
     source: watch::Receiver<SocketAddr>,
     grace: Span,
     ask: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    // The rest is for the list, the log and what the runtime itself opens.
-    let upstreams = Arc::new(Upstreams::new(world.clone(), &given, given.sockets * 5 / 16));
-    let outlet = Box::new(Outlet(upstreams.clone()));
-    let facade = Facade::new(world.now(), given.seed, given.terms.clone(), outlet);
     let mut list = List::new(given.clone());
     let (rows, addresses) = list.rows(&given.known);
     list.tell(&world, &given.known, &rows);
--- a/crates/balancer/src/world.rs
+++ b/crates/balancer/src/world.rs
@@ -31,6 +31,9 @@
     /// Connections that are accepted have so large a send buffer, and so many wait to be.
     fn listen(&self, at: SocketAddr, send_buffer: u32, backlog: u32) -> io::Result<Self::Listener>;
 
+    /// How a push ended, for whoever counts that.
+    fn push_ended(&self, _ending: &'static str) {}
+
     /// Never holds up the caller.
     fn log(&self, line: Arguments);
 
--- /dev/null
+++ b/crates/faults/src/draw.rs
@@ -0,0 +1,155 @@
+//! Scripts drawn from seeds. Half of them aim at one of the hard cases; all hold further faults that overlap, and
+//! many of these begin or end on each other's edges. It must never draw from anything but the seed.
+
+use doorproxy::rng::{Pcg, mix};
+
+use crate::script::{Fault, IT, Kind, Moment, Script, When};
+use crate::sim::{MS, Micros, SECOND, below};
+
+/// The troubles that each must have been met, and how each is aimed at.
+pub const HARD_CASES: [&str; 10] = [
+    "a drain notice in the tick of a retry",
+    "an at-most-once op times out and is answered later",
+    "an answer in the tick in which the time ends",
+    "a client's crossed close with its resend",
+    "a server dies between the last byte and the answer",
+    "a new id at an old address while a push connects",
+    "a list outage as a zone goes",
+    "SIGTERM during a storm",
+    "a balancer killed, its ops retried through another",
+    "all servers cold together",
+];
+
+fn between(rng: &mut Pcg, least: u64, most: u64) -> u64 {
+    least + below(rng, most - least + 1)
+}
+
+fn fault(rng: &mut Pcg, script: &Script, kind: Kind, when: When) -> Fault {
+    let is_zone = kind == Kind::LoseZone;
+    let is_balancer =
+        matches!(kind, Kind::Cut | Kind::CutList | Kind::KillBalancer | Kind::EndBalancer | Kind::Reload);
+    let servers = u64::from(script.servers);
+    let balancers = u64::from(script.balancers);
+    let target = if is_zone {
+        2
+    } else if is_balancer {
+        balancers
+    } else {
+        servers
+    };
+    let others = if kind == Kind::OneWay { balancers } else { servers };
+    let size = match kind {
+        Kind::Slow => between(rng, 2, 12) as f64,
+        Kind::ListLate => between(rng, 1, 8) as f64 / 2.0,
+        Kind::Storm => between(rng, 2, 6) as f64,
+        Kind::SlowNet => between(rng, 1, 15) as f64,
+        _ => 0.0,
+    };
+    Fault {
+        when,
+        kind,
+        target: below(rng, target) as u32,
+        other: below(rng, others) as u32,
+        size,
+        length: between(rng, 2, 60) * 100 * MS,
+    }
+}
+
+pub fn script(seed: u64) -> Script {
+    let mut rng = Pcg::new(mix(seed));
+    let rng = &mut rng;
+    let servers = between(rng, 6, 9) as u32;
+    let rate = between(rng, 18, 40) as f64;
+    let busy = 0.25 + 0.75 * rng.unit();
+    let work = (busy * f64::from(servers) / rate * SECOND as f64) as Micros;
+    let ops = between(rng, 110, 220) as u32;
+    let mut script = Script {
+        seed,
+        balancers: between(rng, 2, 3) as u32,
+        servers,
+        clients: between(rng, 6, 12) as u32,
+        ops: (0, ops),
+        rate,
+        work: work.min(400 * MS) / 100 * 100,
+        latency: between(rng, 1, 30) * 100,
+        sockets: [64, 96, 256][below(rng, 3) as usize],
+        faults: Vec::new(),
+    };
+    let load = (f64::from(ops) / rate * SECOND as f64) as Micros;
+    if below(rng, 2) == 0 {
+        aim(rng, &mut script, load);
+    }
+    let more = between(rng, 2, 3).saturating_sub(script.faults.len() as u64 / 2).max(1);
+    let base = between(rng, 0, load / MS) * MS;
+    let mut edge = base;
+    for _ in 0..more {
+        let kind = Kind::ALL[below(rng, Kind::ALL.len() as u64) as usize];
+        // At the same moment as another, at its end, or somewhere near.
+        let at = match below(rng, 4) {
+            0 => base,
+            1 => edge,
+            _ => (base + between(rng, 0, 2500) * MS).saturating_sub(SECOND),
+        };
+        let drawn = fault(rng, &script, kind, When::At(at));
+        edge = at + drawn.length;
+        script.faults.push(drawn);
+    }
+    script
+}
+
+fn aim(rng: &mut Pcg, script: &mut Script, load: Micros) {
+    let at = When::At(between(rng, load / 5 / MS, load * 4 / 5 / MS) * MS);
+    let case = below(rng, HARD_CASES.len() as u64);
+    let nth = between(rng, 1, 6) as u32;
+    let add = |rng: &mut Pcg, script: &mut Script, kind: Kind, when: When, length: Option<Micros>| {
+        let mut drawn = fault(rng, &*script, kind, when);
+        if let When::On(..) = when {
+            drawn.target = IT;
+        }
+        drawn.length = length.unwrap_or(drawn.length);
+        script.faults.push(drawn);
+    };
+    match case {
+        0 => {
+            add(rng, script, Kind::Fail, at, Some(3 * SECOND));
+            add(rng, script, Kind::Spoil, at, Some(3 * SECOND));
+            add(rng, script, Kind::Drain, When::On(Moment::Retry, nth), None);
+        }
+        1 => {
+            add(rng, script, Kind::Hang, When::On(Moment::OrderSent, nth), Some(3500 * MS));
+        }
+        2 => {
+            for _ in 0..4 {
+                add(rng, script, Kind::Brink, at, Some(4 * SECOND));
+            }
+        }
+        3 => {
+            script.sockets = 64;
+            script.clients = 12;
+            add(rng, script, Kind::Storm, at, Some(3 * SECOND));
+        }
+        4 => {
+            add(rng, script, Kind::Kill, When::On(Moment::Sent, nth * 9), None);
+        }
+        5 => {
+            let length = between(rng, 0, 3) * 100;
+            add(rng, script, Kind::Replace, When::On(Moment::Connect, nth * 4), Some(length));
+        }
+        6 => {
+            add(rng, script, Kind::ListDown, at, None);
+            add(rng, script, Kind::LoseZone, at, None);
+        }
+        7 => {
+            add(rng, script, Kind::Storm, at, Some(3 * SECOND));
+            let When::At(began) = at else { return };
+            let end = When::At(began + between(rng, 0, 2000) * MS);
+            add(rng, script, Kind::EndBalancer, end, None);
+        }
+        8 => {
+            add(rng, script, Kind::KillBalancer, at, None);
+        }
+        _ => {
+            add(rng, script, Kind::AllCold, at, None);
+        }
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -298,6 +298,14 @@
         desk.next_tick
     }
 
+    /// What is held for ops that are not over: ops on the desk, pushes that may be called off, alarms, and ops in the
+    /// decisions. When none is in hand, all of it comes back to nothing.
+    pub fn held(&self) -> [usize; 4] {
+        let in_decisions = locked(&self.balancer).ops_held();
+        let desk = locked(&self.desk);
+        [desk.ops.len(), desk.called_off.len(), desk.alarms.len(), in_decisions]
+    }
+
     /// Waits until the next tick is wanted sooner than the last one said.
     pub async fn sooner(&self) {
         poll_fn(|cx| locked(&self.desk).sooner.poll(cx)).await
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -145,6 +145,10 @@
         usize::from(category.0) < self.terms.categories.len()
     }
 
+    pub fn ops_held(&self) -> usize {
+        self.ops.len()
+    }
+
     // Following the list.
 
     pub fn list_given(&mut self, now: At, rows: &[Listing]) {
