--- a/crates/drill/tests/frames.rs
+++ b/crates/drill/tests/frames.rs
@@ -8,7 +8,7 @@
 
 const FACTS: &str = "categories.count=1\ncategories.0.benefit=1\ncategories.0.semantics=pure\n\
     categories.0.target_latency=0.5\ncategories.0.ttl=1.5\ndiscovery=pushed\nn_instances=2\nordinal=0\nlimits.max_pushes=3\n\
-    limits.second_copies=true\nlimits.cancelling=false\nlimits.retry_after=false\nobligations.ask_within=10\n\
+    limits.second_copies=true\nlimits.cancelling=false\nlimits.retry_after=false\nlimits.connect_timeout=0.25\nobligations.ask_within=10\n\
     obligations.cold=10\nobligations.cold_from=0.2\nobligations.fall=2\nobligations.fall_multiple=2.5\nunheard.of=7\n";
 
 fn frame(number: u32, records: &[Vec<u8>]) -> Vec<u8> {
