--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -173,7 +173,7 @@
 
     pub fn gone(&mut self, now: Micros, id: u64) {
         if let Some(op) = self.ops.get_mut(&id) {
-            op.gone_at = Some(now);
+            op.gone_at.get_or_insert(now);
         }
     }
 
--- a/crates/faults/src/client.rs
+++ b/crates/faults/src/client.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 
 use doorproxy::rng::{Pcg, mix};
-use doorproxy_balancer::world::World;
+use doorproxy_balancer::world::{Stream, World};
 
 use crate::check::{Ask, Repeats, SLACK};
 use crate::draw::HARD_CASES;
@@ -249,6 +249,12 @@
                     self.stage.book.held().outcomes.count("lost with its balancer");
                 }
                 Got::GaveUp => {
+                    // Some only end their sending at first, which the protocol counts as gone.
+                    if below(rng, 3) == 0 {
+                        line.wire.end_sending();
+                        self.stage.book.held().gone(self.world.sim.now(), id);
+                        self.world.nap(200 * MS).await;
+                    }
                     drop(line);
                     let mut records = self.stage.book.held();
                     records.gone(self.world.sim.now(), id);
