Find a request's route by what is most specific, and check and explain a sidecar's configuration

Sidecars need to know which request is what before the decisions hear of it, and a file in which a slip can't make an order repeatable. The TOML file is read with the place of each value, all findings at once; `doorproxy check`, `explain` and `configure` speak of it. The sidecar's front is not there yet.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -1,8 +1,10 @@
 //! The command line of the balancer: it reads the configuration, at the start and on SIGHUP, and waits for signals.
 //! It must never know what the parts do.
 
+mod tool;
+
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -24,6 +26,8 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Explain(tool::Explain),
+    Configure(tool::Configure),
     Version(Version),
 }
 
@@ -39,13 +43,25 @@
     grace_ms: u64,
 }
 
-/// Read a configuration file and say what is wrong with it, or what it holds.
+/// Read a configuration file and say what is wrong with it, or what it holds. A sidecar's file ends in .toml.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct Check {
-    /// the configuration file; without it, $PROXY_CONFIG names it
+    /// the file
+    #[argh(positional)]
+    file: Option<PathBuf>,
+    /// the configuration file of a balancer; without any, $PROXY_CONFIG names it
     #[argh(option)]
     config: Option<PathBuf>,
+    /// for a sidecar's file: the roster, in the form of the list, that servers and hosts have to be in
+    #[argh(option)]
+    roster: Option<PathBuf>,
+    /// for a sidecar's file: a newer one; what it changes is said
+    #[argh(option)]
+    against: Option<PathBuf>,
+    /// for a sidecar's file: say the findings as JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Print the version.
@@ -55,11 +71,17 @@
 
 fn main() -> ExitCode {
     let Arguments { command } = argh::from_env();
+    let is_sidecars = |file: &Path| file.extension().is_some_and(|extension| extension == "toml");
     let done = match command {
+        Command::Check(Check { file: Some(file), roster, against, json, .. }) if is_sidecars(&file) => {
+            return tool::exit(tool::check_file(&file, roster.as_deref(), against.as_deref(), json));
+        }
+        Command::Explain(call) => return tool::exit(tool::explain(&call)),
+        Command::Configure(call) => return tool::exit(tool::configure(&call)),
         Command::Serve(Serve { config, grace_ms }) => {
             given::path(config).and_then(|config| serve(config, Span(grace_ms as i64 * 10)))
         }
-        Command::Check(Check { config }) => given::path(config)
+        Command::Check(Check { file, config, .. }) => given::path(config.or(file))
             .and_then(|config| given::read(&config))
             .map(|given| println!("{}", list::summary(&given))),
         Command::Version(Version {}) => {
--- /dev/null
+++ b/crates/routes/tests/routes.rs
@@ -0,0 +1,329 @@
+//! What is seen of a request, and which route takes it: by hand, and against a matcher so slow and plain that it can be
+//! read at a glance.
+
+use doorproxy::rng::Pcg;
+use doorproxy_routes::pattern::{Host, Path, Pattern, Segment};
+use doorproxy_routes::request::Seen;
+use doorproxy_routes::router::Router;
+use expect_test::expect;
+
+fn pattern(text: &str) -> Pattern {
+    let mut words = text.split(' ');
+    let place = words.next().unwrap();
+    let (host, path) = place.split_at(place.find('/').unwrap());
+    let host = if host.is_empty() { Host::Any } else { Host::read(host).unwrap() };
+    let mut pattern =
+        Pattern { host, path: Path::read(path).unwrap(), methods: Vec::new(), fields: Vec::new() };
+    for word in words {
+        match word.split_once('=') {
+            Some((name, value)) => pattern.fields.push((name.to_string(), value.to_string())),
+            None => pattern.methods.push(word.to_string()),
+        }
+    }
+    pattern
+}
+
+#[test]
+fn what_two_readers_could_take_for_two_is_turned_away() {
+    let targets = [
+        "/a/b?x=1",
+        "/",
+        "/a/",
+        "/%72eport/7",
+        "/a//b",
+        "//a",
+        "/a/./b",
+        "/a/%2e%2E/b",
+        "/a%2fb",
+        "/a%5Cb",
+        "/a\\b",
+        "/a%00",
+        "/a%zz",
+        "/a%2",
+        "/a%ff",
+        "a",
+        "*",
+        "",
+        "http://Quotes.Example.:80/a#f",
+        "http://other.example/a",
+        "ftp://quotes.example/a",
+        "http://quotes.example",
+        "/a%252e",
+        "/a;v=1/b",
+    ];
+    let told = targets.map(|target| match Seen::new("GET", target, Some("quotes.example:8080")) {
+        Ok(seen) => format!("{target}: {} {:?}\n", seen.host, seen.segments),
+        Err(why) => format!("{target}: {why}\n"),
+    });
+    expect![[r#"
+        /a/b?x=1: quotes.example ["a", "b"]
+        /: quotes.example [""]
+        /a/: quotes.example ["a", ""]
+        /%72eport/7: quotes.example ["report", "7"]
+        /a//b: the path has an empty segment
+        //a: the path has an empty segment
+        /a/./b: the path has a segment that is . or ..
+        /a/%2e%2E/b: the path has a segment that is . or ..
+        /a%2fb: the path has an encoded or backward slash
+        /a%5Cb: the path has an encoded or backward slash
+        /a\b: the path has an encoded or backward slash
+        /a%00: the path has a control character
+        /a%zz: the path has a percent sign that no two digits follow, or bytes that are no UTF-8
+        /a%2: the path has a percent sign that no two digits follow, or bytes that are no UTF-8
+        /a%ff: the path has a percent sign that no two digits follow, or bytes that are no UTF-8
+        a: the target is neither a path that begins with / nor a whole URL
+        *: the target is neither a path that begins with / nor a whole URL
+        : the target is neither a path that begins with / nor a whole URL
+        http://Quotes.Example.:80/a#f: quotes.example ["a"]
+        http://other.example/a: the target names another host than the Host field
+        ftp://quotes.example/a: the target is neither a path that begins with / nor a whole URL
+        http://quotes.example: quotes.example [""]
+        /a%252e: quotes.example ["a%2e"]
+        /a;v=1/b: quotes.example ["a;v=1", "b"]
+    "#]]
+    .assert_eq(&told.concat());
+    let hosts = [
+        "A.example.",
+        "a.example:80",
+        "a.example:",
+        "[::1]:80",
+        "a b",
+        "",
+        "a..",
+        "a:b:c",
+        "user@a",
+        "a:99999999",
+    ];
+    let told = hosts.map(|host| match Seen::new("GET", "/", Some(host)) {
+        Ok(seen) => format!("{host:?}: {}\n", seen.host),
+        Err(why) => format!("{host:?}: {why}\n"),
+    });
+    expect![[r#"
+        "A.example.": a.example
+        "a.example:80": a.example
+        "a.example:": a.example
+        "[::1]:80": [::1]
+        "a b": the host can't be read
+        "": the host can't be read
+        "a..": the host can't be read
+        "a:b:c": the host can't be read
+        "user@a": the host can't be read
+        "a:99999999": the host can't be read
+    "#]]
+    .assert_eq(&told.concat());
+}
+
+#[test]
+fn patterns_that_no_request_can_take_are_refused() {
+    let texts = [
+        "/a/{x}/b/**",
+        "/**",
+        "/",
+        "/a/**/b",
+        "/a//b",
+        "/a/../b",
+        "/a/%2f",
+        "/a/{x",
+        "/a/{x}/{x}",
+        "/a/x*",
+        "a",
+        "/a/{b-c}",
+    ];
+    let told = texts.map(|text| match Path::read(text) {
+        Ok(path) => format!("{text}: {} segments, open {}\n", path.segments.len(), path.is_open),
+        Err(why) => format!("{text}: {why}\n"),
+    });
+    expect![[r#"
+        /a/{x}/b/**: 3 segments, open true
+        /**: 0 segments, open true
+        /: 1 segments, open false
+        /a/**/b: ** stands for all that follows, so only at the end
+        /a//b: no request can take it: the path has an empty segment
+        /a/../b: no request can take it: the path has a segment that is . or ..
+        /a/%2f: no request can take it: the path has an encoded or backward slash
+        /a/{x: {{x} has to be a whole segment with a name of letters, digits and _
+        /a/{x}/{x}: {x} stands twice
+        /a/x*: {x*} has to be a whole segment with a name of letters, digits and _
+        a: no request can take it: the target is neither a path that begins with / nor a whole URL
+        /a/{b-c}: {b-c} has to be a whole segment with a name of letters, digits and _
+    "#]]
+    .assert_eq(&told.concat());
+}
+
+#[test]
+fn the_most_specific_route_takes_a_request_whatever_the_order_of_lines() {
+    let texts = [
+        "/**",
+        "/report/{id}",
+        "/report/{id} POST",
+        "/report/all",
+        "/report/{id} x-test=1",
+        "/{kind}/all",
+        "/report/**",
+        "quotes.example/**",
+        "*.example/report/{id}",
+        "*.a.example/**",
+    ];
+    let asked = [
+        ("GET", "/report/7", "h", ""),
+        ("POST", "/report/7", "h", ""),
+        ("POST", "/report/7", "h", "1"),
+        ("GET", "/report/all", "h", ""),
+        ("GET", "/quote/all", "h", ""),
+        ("GET", "/report/7/8", "h", ""),
+        ("GET", "/report", "h", ""),
+        ("GET", "/report/", "h", ""),
+        ("GET", "/report/7", "quotes.example", ""),
+        ("GET", "/report/7", "b.example", ""),
+        ("GET", "/report/7", "b.a.example", ""),
+        ("GET", "/other", "a.example", ""),
+        ("GET", "/report/7", "example", ""),
+    ];
+    let tell = |texts: &[&str]| {
+        let router = Router::new(texts.iter().map(|text| pattern(text)).collect());
+        let told = asked.map(|(method, path, host, test)| {
+            let seen = Seen::new(method, path, Some(host)).unwrap();
+            let found = router.find(&seen, |name| (name == "x-test" && !test.is_empty()).then_some(test));
+            format!("{method} {host} {path}: {}\n", found.map_or("none", |place| texts[place]))
+        });
+        told.concat()
+    };
+    let told = tell(&texts);
+    expect![[r#"
+        GET h /report/7: /report/{id}
+        POST h /report/7: /report/{id} POST
+        POST h /report/7: /report/{id} x-test=1
+        GET h /report/all: /report/all
+        GET h /quote/all: /{kind}/all
+        GET h /report/7/8: /report/**
+        GET h /report: /**
+        GET h /report/: /report/**
+        GET quotes.example /report/7: quotes.example/**
+        GET b.example /report/7: *.example/report/{id}
+        GET b.a.example /report/7: *.a.example/**
+        GET a.example /other: /**
+        GET example /report/7: /report/{id}
+    "#]]
+    .assert_eq(&told);
+    let backwards: Vec<&str> = texts.iter().rev().copied().collect();
+    assert_eq!(told, tell(&backwards));
+}
+
+#[test]
+fn no_spelling_of_an_order_reaches_a_route_that_may_repeat_it() {
+    let patterns = ["/**", "/report/{id}", "/quotes/**"].map(pattern).to_vec();
+    let router = Router::new(patterns);
+    let strictness = |place| u8::from(place == 1);
+    let told = [
+        "/report/7",
+        "/Report/7",
+        "/report/7/",
+        "/report;a=b/7",
+        "/report./7",
+        "/report%20/7",
+        "/quotes/Report",
+        "/other/",
+    ]
+    .map(|path| {
+        let seen = Seen::new("GET", path, None).unwrap();
+        format!("{path}: {:?}\n", router.find_guarded(&seen, |_| None, strictness))
+    });
+    expect![[r#"
+        /report/7: Ok(Some(1))
+        /Report/7: Err(Spelling)
+        /report/7/: Err(Spelling)
+        /report;a=b/7: Err(Spelling)
+        /report./7: Err(Spelling)
+        /report%20/7: Err(Spelling)
+        /quotes/Report: Ok(Some(2))
+        /other/: Ok(Some(0))
+    "#]]
+    .assert_eq(&told.concat());
+}
+
+// Against the slow matcher.
+
+fn matches(pattern: &Pattern, seen: &Seen, field: Option<&str>) -> bool {
+    let host = match &pattern.host {
+        Host::Exact(name) => seen.host == *name,
+        Host::Below(name) => seen.host.ends_with(&format!(".{name}")),
+        Host::Any => true,
+    };
+    let fixed = pattern.path.segments.len();
+    let length =
+        if pattern.path.is_open { seen.segments.len() > fixed } else { seen.segments.len() == fixed };
+    host && length
+        && (pattern.methods.is_empty() || pattern.methods.iter().any(|method| method == seen.method))
+        && pattern.fields.iter().all(|(_, value)| field == Some(value))
+        && pattern.path.segments.iter().zip(&seen.segments).all(|(segment, text)| match segment {
+            Segment::Literal(literal) => literal == text,
+            Segment::Any(_) => !text.is_empty(),
+        })
+}
+
+/// The smaller, the more specific.
+fn rank(pattern: &Pattern) -> (usize, Vec<u8>, usize, bool) {
+    let host = match &pattern.host {
+        Host::Exact(_) => 0,
+        Host::Below(name) => 1000 - name.len(),
+        Host::Any => 1000,
+    };
+    let kind = |segment: &Segment| if matches!(segment, Segment::Literal(_)) { 0 } else { 1 };
+    let mut path: Vec<u8> = pattern.path.segments.iter().map(kind).collect();
+    if pattern.path.is_open {
+        path.push(2);
+    }
+    (host, path, 100 - pattern.fields.len(), pattern.methods.is_empty())
+}
+
+#[test]
+fn a_hundred_thousand_random_requests_find_what_the_slow_matcher_finds() {
+    let mut rng = Pcg::new(11);
+    let mut below = |most: u32| ((u64::from(rng.draw()) * u64::from(most)) >> 32) as usize;
+    let words = ["a", "b", "c", ""];
+    let hosts = ["h.x", "x", "g.h.x", "y"];
+    let mut found_any = 0;
+    for _ in 0..10_000 {
+        let mut patterns: Vec<Pattern> = Vec::new();
+        for _ in 0..1 + below(16) {
+            let count = below(4);
+            let mut path: String = (0..count).map(|_| ["/a", "/b", "/{p}", "/c"][below(4)]).collect();
+            path = path.replacen("{p}", "{p1}", 1).replacen("{p}", "{p2}", 1);
+            path += ["", "/**", "/"][below(3)];
+            let path = if path.is_empty() { "/".to_string() } else { path };
+            let Ok(path) = Path::read(&path) else { continue };
+            let host = match below(4) {
+                0 => Host::Exact(hosts[below(4)].to_string()),
+                1 => Host::Below(["x", "h.x"][below(2)].to_string()),
+                _ => Host::Any,
+            };
+            let methods = [vec![], vec!["GET".to_string()], vec!["GET".to_string(), "POST".to_string()]]
+                [below(3)]
+            .clone();
+            let fields = if below(4) == 0 {
+                vec![("k".to_string(), ["1", "2"][below(2)].to_string())]
+            } else {
+                vec![]
+            };
+            let pattern = Pattern { host, path, methods, fields };
+            if !patterns.iter().any(|known| known.is_alike(&pattern)) {
+                patterns.push(pattern);
+            }
+        }
+        let router = Router::new(patterns.clone());
+        for _ in 0..10 {
+            let count = 1 + below(4);
+            let path: Vec<&str> =
+                (0..count).map(|place| words[below(if place + 1 == count { 4 } else { 3 })]).collect();
+            let target = format!("/{}", path.join("/"));
+            let seen = Seen::new(["GET", "POST", "PUT"][below(3)], &target, Some(hosts[below(4)])).unwrap();
+            let field = [None, Some("1"), Some("2")][below(3)];
+            let slow = (0..patterns.len())
+                .filter(|&place| matches(&patterns[place], &seen, field))
+                .min_by_key(|&place| rank(&patterns[place]));
+            assert_eq!(router.find(&seen, |_| field), slow, "{seen:?} among {patterns:?}");
+            found_any += usize::from(slow.is_some());
+        }
+    }
+    assert!(found_any > 30_000, "only {found_any} requests were taken by any route");
+}
