Serve as a sidecar: routes in front of the decisions, in a program of its own package

Member unions want a balancer beside each application that speaks plain HTTP. `doorproxy sidecar` asks the checked configuration what a request is, hands it to the decisions of its pool, passes on any answer that is no server's fault, and refuses loops by Via and paths that two readers could take for two. The program moved to crates/program, since it stands on all parts now; the pools of connections are told by the front which statuses are answers. On loopback: a read broken off by its server goes to another, an order does not. Not there yet: bodies and answers beyond 64 KiB, Unix sockets, discovery and SIGHUP for a sidecar.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -355,7 +355,7 @@
     }
 }
 
-fn nack(stay_away: Option<Span>) -> Response {
+pub fn nack(stay_away: Option<Span>) -> Response {
     let mut response = (StatusCode::SERVICE_UNAVAILABLE, "not now\n").into_response();
     if let Some(Ok(wait)) = stay_away.map(|wait| HeaderValue::try_from(format!("{:.3}", wait.secs()))) {
         response.headers_mut().insert(header::RETRY_AFTER, wait);
@@ -363,7 +363,7 @@
     response
 }
 
-fn dead_letter() -> Response {
+pub fn dead_letter() -> Response {
     (StatusCode::BAD_GATEWAY, "no answer, and it may have run\n").into_response()
 }
 
@@ -451,7 +451,8 @@
     });
 }
 
-async fn converse<W: World>(world: &W, router: Router, stream: W::Stream, client: &Arc<Connection<W>>) {
+/// One client's connection, from its first byte to its last.
+pub async fn converse<W: World>(world: &W, router: Router, stream: W::Stream, client: &Arc<Connection<W>>) {
     let stream = Arc::new(stream);
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(client.clone());
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use doorproxy::facade::{Facade, Outlets, Push};
 use doorproxy::host::{Condition, Listing};
-use doorproxy::ids::{At, UpstreamId};
+use doorproxy::ids::{At, Span, UpstreamId};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -26,7 +26,6 @@
 
 use crate::bodies::{BodyFault, LARGEST_BODY, end_to_end, held_whole};
 use crate::endings::PushEnding;
-use crate::given::Given;
 use crate::note;
 use crate::world::{ForLibraries, Stream, World, duration};
 
@@ -44,8 +43,17 @@
     pub ends: At,
 }
 
+/// How long a connection may take to come up, and after what time without an op an upstream closes it.
+#[derive(Clone, Copy)]
+pub struct Times {
+    pub connect: Span,
+    pub keepalive: Span,
+}
+
 pub struct Upstreams<W: World> {
     world: W,
+    /// Statuses that are an op's answer; any other tells of a failure.
+    passes: fn(StatusCode) -> bool,
     connect_timeout: Duration,
     idle: Duration,
     sockets: Arc<Semaphore>,
@@ -75,12 +83,13 @@
 }
 
 impl<W: World> Upstreams<W> {
-    pub fn new(world: W, given: &Given, sockets: usize) -> Upstreams<W> {
+    pub fn new(world: W, times: Times, sockets: usize, passes: fn(StatusCode) -> bool) -> Upstreams<W> {
         Upstreams {
             world,
-            connect_timeout: duration(given.connect_timeout),
+            passes,
+            connect_timeout: duration(times.connect),
             // Well before the upstream closes it: an op written to a connection that it has closed is broken.
-            idle: duration(given.keepalive.times(0.5)),
+            idle: duration(times.keepalive.times(0.5)),
             sockets: Arc::new(Semaphore::new(sockets)),
             by_id: Mutex::new(BTreeMap::new()),
         }
@@ -140,7 +149,7 @@
         let ending = tokio::select! {
             biased;
             () = facade.called_off(push) => PushEnding::CalledOff,
-            ending = exchange(&self.world, client, request, &captured) => ending,
+            ending = exchange(self, client, request, &captured) => ending,
             () = stalls(&self.world, &captured, self.connect_timeout * 2) => PushEnding::Broken,
             () = self.world.sleep(left) => PushEnding::TimedOut,
         };
@@ -183,7 +192,7 @@
 }
 
 async fn exchange<W: World>(
-    world: &W,
+    upstreams: &Upstreams<W>,
     client: Client<Connector<W>, Full<Bytes>>,
     request: Request<Full<Bytes>>,
     captured: &CaptureConnection,
@@ -198,13 +207,13 @@
         Err(_) => return PushEnding::Broken,
     };
     let status = answer.status();
-    if status == StatusCode::OK {
+    if (upstreams.passes)(status) {
         return whole(answer).await;
     }
     let has_word = answer.headers().get(DECLINED).is_some_and(|value| value == "1");
     // Nobody waits for the rest: a failure is not to be told late for it.
-    let (of_rest, rest) = (world.clone(), held_whole(answer.into_body()));
-    world.spawn(async move { drop(of_rest.timeout(REST_OF_ANSWER, rest).await) });
+    let (of_rest, rest) = (upstreams.world.clone(), held_whole(answer.into_body()));
+    upstreams.world.spawn(async move { drop(of_rest.timeout(REST_OF_ANSWER, rest).await) });
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if has_word => PushEnding::Declined,
         _ => PushEnding::Failed,
--- a/crates/balancer/src/whole.rs
+++ b/crates/balancer/src/whole.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use axum::http::StatusCode;
 use doorproxy::facade::{Facade, News};
 use doorproxy::ids::Span;
 use tokio::sync::watch;
@@ -12,13 +13,16 @@
 use crate::given::Given;
 use crate::list::{self, List};
 use crate::ring;
-use crate::upstreams::{Outlet, Upstreams};
+use crate::upstreams::{Outlet, Times, Upstreams};
 use crate::world::World;
 
 /// The decisions of one balancer, and the connections on which they are carried out.
 pub fn parts<W: World>(world: &W, given: &Given) -> (Facade, Arc<Upstreams<W>>) {
+    let times = Times { connect: given.connect_timeout, keepalive: given.keepalive };
     // The rest is for the list, the log and what the runtime itself opens.
-    let upstreams = Arc::new(Upstreams::new(world.clone(), given, given.sockets * 5 / 16));
+    let upstreams = Arc::new(Upstreams::new(world.clone(), times, given.sockets * 5 / 16, |status| {
+        status == StatusCode::OK
+    }));
     let outlet = Box::new(Outlet(upstreams.clone()));
     (Facade::new(world.now(), given.seed, given.terms.clone(), outlet), upstreams)
 }
--- a/crates/config/tests/checks.rs
+++ b/crates/config/tests/checks.rs
@@ -35,7 +35,7 @@
     ("bad-unit", "ttl = \"2s\"", "ttl = @\"2 s\""),
     ("bad-unit", "to = \"3f\"", "to = @\"3g\""),
     ("bad-address", "address = \"127.0.0.1:5001\"", "address = @\"localhost:5001\""),
-    ("bad-address", "address = \"127.0.0.1:7002\"", "address = @\"127.0.0.1\""),
+    ("bad-address", "address = \"127.0.0.1:6002\"", "address = @\"127.0.0.1\""),
     ("bad-pattern", "path = \"/search\"", "path = @\"/search*\""),
     ("bad-pattern", "hosts = [\"quotes.example\"]", "hosts = [@\"quotes example\"]"),
     ("bad-pattern", "methods = [\"POST\"]", "methods = [@\"post\"]"),
@@ -100,7 +100,7 @@
     ("route-missing", "unrouted = \"not-found\"\n", "# unrouted\n"),
     ("duplicate-name", "[category.order]", "[category.@read]"),
     ("duplicate-name", "{ name = \"quote-02.gasan.example.org\"", "{ name = @\"quote-01.gasan.example.org\""),
-    ("duplicate-name", "address = \"127.0.0.1:7002\"", "address = @\"127.0.0.1:7001\""),
+    ("duplicate-name", "address = \"127.0.0.1:6002\"", "address = @\"127.0.0.1:6001\""),
     ("duplicate-name", "name = \"search\"", "name = \"quotes\""),
     ("listen-conflict", "[limits]", "[[listen]]\naddress = @\"127.0.0.1:5001\"\n\n[limits]"),
     (
@@ -110,7 +110,7 @@
     ),
     ("listen-not-loopback", "address = \"127.0.0.1:5001\"", "address = @\"10.0.0.4:5001\""),
     ("listen-not-loopback", "address = \"127.0.0.1:5001\"", "address = @\"[::]:5001\""),
-    ("loop-to-self", "address = \"127.0.0.1:7002\"", "address = @\"127.0.0.1:5001\""),
+    ("loop-to-self", "address = \"127.0.0.1:6002\"", "address = @\"127.0.0.1:5001\""),
     ("loop-to-self", "default = \"small\"\nservers = [", "@discovery = \"127.0.0.1:5001\"\nservers = ["),
 ];
 
@@ -191,7 +191,7 @@
              ^^^
         error[unknown-host]: the server "quote-07.gasan.exmaple.org" is not in the roster; is "quote-07.gasan.example.org" meant?
           --> sidecar.toml:41:12
-        41 |   { name = "quote-07.gasan.exmaple.org", address = "127.0.0.1:7003", zone = "a", kind = "large", size = 2.0 },
+        41 |   { name = "quote-07.gasan.exmaple.org", address = "127.0.0.1:6003", zone = "a", kind = "large", size = 2.0 },
                         ^^^^^^^^^^^^^^^^^^^^^^^^^^^^
         error[order-retriable]: this route names no methods, so it takes POST and others that are not safe to repeat, but its category "read" may run again (always); name only safe methods, take a category that repeats never, or say in may_repeat_unsafe why it does no harm
           --> sidecar.toml:52:12
@@ -204,7 +204,7 @@
 fn what_is_written_for_an_application_passes() {
     let server = doorproxy_config::plan::Server {
         name: "quote \"7\"".to_string(),
-        address: "127.0.0.1:7001".parse().unwrap(),
+        address: "127.0.0.1:6001".parse().unwrap(),
         zone: "a".to_string(),
         kind: "small".to_string(),
         size: 1.0,
@@ -234,7 +234,7 @@
 
         [pool.servers]
         servers = [
-          { name = 'quote "7"', address = "127.0.0.1:7001", zone = "a", kind = "small", size = 1.0 },
+          { name = 'quote "7"', address = "127.0.0.1:6001", zone = "a", kind = "small", size = 1.0 },
         ]
 
         [[route]]
--- a/crates/balancer/src/main.rs
+++ b/crates/program/src/main.rs
@@ -3,6 +3,7 @@
 
 mod tool;
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,7 +11,9 @@
 use argh::FromArgs;
 use doorproxy::ids::Span;
 use doorproxy_balancer::sockets::Sockets;
+use doorproxy_balancer::world::World;
 use doorproxy_balancer::{given, list, log, note, whole};
+use doorproxy_config::plan::Plan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
@@ -26,6 +29,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Sidecar(Sidecar),
     Explain(tool::Explain),
     Configure(tool::Configure),
     Version(Version),
@@ -43,6 +47,18 @@
     grace_ms: u64,
 }
 
+/// Serve as the sidecar of one application until SIGTERM, then finish what was taken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sidecar")]
+struct Sidecar {
+    /// the configuration file
+    #[argh(option)]
+    config: PathBuf,
+    /// where chance begins, for runs that are to be alike (default: from the clock)
+    #[argh(option)]
+    seed: Option<u64>,
+}
+
 /// Read a configuration file and say what is wrong with it, or what it holds. A sidecar's file ends in .toml.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -76,6 +92,10 @@
         Command::Check(Check { file: Some(file), roster, against, json, .. }) if is_sidecars(&file) => {
             return tool::exit(tool::check_file(&file, roster.as_deref(), against.as_deref(), json));
         }
+        Command::Sidecar(call) => match tool::plan(&call.config) {
+            Ok(Some(plan)) => sidecar(plan, call.seed),
+            unread => return tool::exit(unread.map(|_| false)),
+        },
         Command::Explain(call) => return tool::exit(tool::explain(&call)),
         Command::Configure(call) => return tool::exit(tool::configure(&call)),
         Command::Serve(Serve { config, grace_ms }) => {
@@ -98,8 +118,8 @@
     }
 }
 
-fn serve(config: PathBuf, grace: Span) -> Result<(), String> {
-    let given = given::read(&config)?;
+/// Plays a server on a runtime of one thread.
+fn on_runtime(serve: impl Future<Output = Result<(), String>>) -> Result<(), String> {
     // Guards against a balancer that runs on with decisions half made: restarted at once, it loses less. A log
     // that nobody reads any more is no reason to end.
     let print = std::panic::take_hook();
@@ -113,25 +133,47 @@
         .enable_all()
         .build()
         .map_err(|error| format!("the runtime could not start: {error}"))?;
-    let served = runtime.block_on(async {
+    let served = runtime.block_on(serve);
+    log::finish();
+    served
+}
+
+fn on(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|error| format!("signals can't be waited for: {error}"))
+}
+
+/// Waits for SIGTERM or SIGINT, which are heeded from now on.
+fn asked_to_end() -> Result<impl Future<Output = ()>, String> {
+    let (mut terminate, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
+
+fn serve(config: PathBuf, grace: Span) -> Result<(), String> {
+    let given = given::read(&config)?;
+    on_runtime(async move {
         // Before anything else: unheeded, they end the process.
-        let on = |kind| signal(kind).map_err(|error| format!("signals can't be waited for: {error}"));
         let reloads = on(SignalKind::hangup())?;
-        let (mut terminate, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
-        let ask = async move {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
-        };
+        let ask = asked_to_end()?;
         let world = Sockets::start();
         let (source, of_list) = watch::channel(given.discovery);
         tokio::spawn(reload(world, config, reloads, source));
         let parts = whole::parts(&world, &given);
         whole::serve(world, parts, given, of_list, grace, ask).await
-    });
-    log::finish();
-    served
+    })
+}
+
+fn sidecar(plan: Plan, seed: Option<u64>) -> Result<(), String> {
+    on_runtime(async move {
+        let ask = asked_to_end()?;
+        let world = Sockets::start();
+        let seed = seed.unwrap_or(world.now().0 as u64);
+        doorproxy_sidecar::front::serve(world, plan, seed, ask).await
+    })
 }
 
 /// On SIGHUP the list is taken from where the file now says. All else holds until the next start: ops in hand
--- a/crates/balancer/src/tool.rs
+++ b/crates/program/src/tool.rs
@@ -8,7 +8,7 @@
 use doorproxy::rng::{mix, mix_text};
 use doorproxy_balancer::form::ListAnswer;
 use doorproxy_config::check::{Checked, check};
-use doorproxy_config::plan::Server;
+use doorproxy_config::plan::{Plan, Server};
 use doorproxy_config::write::write;
 use doorproxy_routes::request::Seen;
 
@@ -90,6 +90,11 @@
     Ok(checked)
 }
 
+/// What a sidecar is to serve by; none where the file is not good, which has been said then.
+pub fn plan(path: &Path) -> Result<Option<Plan>, String> {
+    Ok(checked(path, None, false)?.plan)
+}
+
 pub fn check_file(path: &Path, roster_path: Option<&Path>, against: Option<&Path>, as_json: bool) -> Outcome {
     let names = roster_path.map(roster).transpose()?;
     let names: Option<Vec<String>> =
--- /dev/null
+++ b/crates/program/tests/sidecar.rs
@@ -0,0 +1,241 @@
+//! The program as a sidecar before stand-in servers on ports of the system's choice: what an application gets, and what
+//! servers saw.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use expect_test::expect;
+
+#[derive(Clone, Default)]
+struct Trace(Arc<Mutex<Vec<String>>>);
+
+impl Trace {
+    fn take(&self) -> String {
+        std::mem::take(&mut *self.0.lock().unwrap()).concat()
+    }
+}
+
+/// The head and the body that it announces; none where the connection ends.
+fn read_message(reader: &mut impl BufRead) -> Option<(String, String)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.to_ascii_lowercase();
+    let length =
+        length.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Answers as the last segment of the path asks.
+fn server(trace: &Trace) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let trace = trace.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let trace = trace.clone();
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while let Some((head, body)) = read_message(&mut reader) {
+                    let start = head.lines().next().unwrap().to_string();
+                    let via =
+                        head.lines().filter(|line| line.to_ascii_lowercase().starts_with("via:")).count();
+                    // Which of the servers it is, is a matter of chance.
+                    trace.0.lock().unwrap().push(format!("  a server got {start} {body:?}, {via} via\n"));
+                    let way = start.split(' ').nth(1).unwrap().rsplit('/').next().unwrap().to_string();
+                    let answer = match way.as_str() {
+                        "break" => return,
+                        "gone" => "HTTP/1.1 404 Gone\r\nContent-Length: 4\r\n\r\nnone".to_string(),
+                        "made" => "HTTP/1.1 201 Made\r\nContent-Length: 0\r\nX-Is: new\r\n\r\n".to_string(),
+                        "empty" => "HTTP/1.1 204 Empty\r\n\r\n".to_string(),
+                        "ill" => "HTTP/1.1 500 Ill\r\nContent-Length: 0\r\n\r\n".to_string(),
+                        _ => "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine".to_string(),
+                    };
+                    let answer = match answer.split_once("\r\n\r\n") {
+                        Some((head, _)) if start.starts_with("HEAD") => format!("{head}\r\n\r\n"),
+                        _ => answer,
+                    };
+                    if writer.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+struct Sidecar(Child);
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(config: &str, name: &str) -> (Sidecar, SocketAddr) {
+    let path = std::env::temp_dir().join(format!("doorproxy-{}-{name}.toml", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_doorproxy"))
+        .args(["sidecar", "--seed", "1", "--config"])
+        .arg(&path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let line = lines.next().unwrap().unwrap();
+    let address = line.strip_prefix("serving on ").unwrap_or_else(|| panic!("{line}")).parse().unwrap();
+    // Read on, or it would write into nothing.
+    thread::spawn(move || lines.for_each(drop));
+    std::fs::remove_file(&path).unwrap();
+    (Sidecar(child), address)
+}
+
+fn ask(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).unwrap() == 0 {
+            return "the connection ended".to_string();
+        }
+    }
+    head.lines().next().unwrap().to_string()
+}
+
+fn config(servers: [SocketAddr; 2]) -> String {
+    format!(
+        r#"
+name = "test"
+listen = [{{ address = "127.0.0.1:0" }}]
+unrouted = "not-found"
+category.read = {{ repeats = "always", ttl = "2s" }}
+category.order = {{ repeats = "never", ttl = "2s" }}
+[pool.main]
+servers = [{{ name = "one", address = "{}" }}, {{ name = "two", address = "{}" }}]
+[[route]]
+path = "/**"
+methods = ["GET", "HEAD"]
+category = "read"
+pool = "main"
+[[route]]
+path = "/report/**"
+category = "order"
+pool = "main"
+"#,
+        servers[0], servers[1]
+    )
+}
+
+#[test]
+fn an_application_gets_what_its_configuration_says() {
+    let trace = Trace::default();
+    let (_sidecar, address) = start(&config([server(&trace), server(&trace)]), "routes");
+    let mut told = String::new();
+    for request in [
+        "GET /quotes/fine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET /quotes/gone HTTP/1.1\r\nHost: x\r\n\r\n",
+        "HEAD /quotes/fine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "POST /report/made HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi",
+        "POST /report/empty HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+        "POST /quotes/fine HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+        "GET /Report/fine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET /report%2ffine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET //report/fine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET http://y/quotes/fine HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET /quotes/fine HTTP/1.1\r\nHost: x\r\nVia: 1.1 doorproxy-test\r\n\r\n",
+        "POST /report/fine HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /report/fine HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n",
+        "CONNECT quotes:443 HTTP/1.1\r\nHost: quotes:443\r\n\r\n",
+    ] {
+        let answer = ask(address, request);
+        told += &format!("{}: {answer}\n{}", request.lines().next().unwrap(), trace.take());
+    }
+    expect![[r#"
+        GET /quotes/fine HTTP/1.1: HTTP/1.1 200 OK
+          a server got GET /quotes/fine HTTP/1.1 "", 1 via
+        GET /quotes/gone HTTP/1.1: HTTP/1.1 404 Gone
+          a server got GET /quotes/gone HTTP/1.1 "", 1 via
+        HEAD /quotes/fine HTTP/1.1: HTTP/1.1 200 OK
+          a server got HEAD /quotes/fine HTTP/1.1 "", 1 via
+        POST /report/made HTTP/1.1: HTTP/1.1 201 Made
+          a server got POST /report/made HTTP/1.1 "hi", 1 via
+        POST /report/empty HTTP/1.1: HTTP/1.1 204 Empty
+          a server got POST /report/empty HTTP/1.1 "hi", 1 via
+        POST /quotes/fine HTTP/1.1: HTTP/1.1 404 Not Found
+        GET /Report/fine HTTP/1.1: HTTP/1.1 400 Bad Request
+        GET /report%2ffine HTTP/1.1: HTTP/1.1 400 Bad Request
+        GET //report/fine HTTP/1.1: HTTP/1.1 400 Bad Request
+        GET http://y/quotes/fine HTTP/1.1: HTTP/1.1 400 Bad Request
+        GET /quotes/fine HTTP/1.1: HTTP/1.1 508 Loop Detected
+        POST /report/fine HTTP/1.1: HTTP/1.1 400 Bad Request
+        POST /report/fine HTTP/1.1: HTTP/1.1 413 Payload Too Large
+        CONNECT quotes:443 HTTP/1.1: HTTP/1.1 400 Bad Request
+    "#]]
+    .assert_eq(&told);
+}
+
+/// A server that breaks off after an op has come whole may have run it.
+#[test]
+fn a_read_is_asked_again_elsewhere_and_an_order_never_is() {
+    let trace = Trace::default();
+    let (_sidecar, address) = start(&config([server(&trace), server(&trace)]), "repeats");
+    let mut told = String::new();
+    // First, or the servers would be doubted already.
+    for request in ["POST /report/break", "GET /quotes/break"] {
+        let answer = ask(address, &format!("{request} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"));
+        let pushes = trace.take().lines().count();
+        told +=
+            &format!("{request}: {answer}, {}\n", if pushes > 1 { "pushed again" } else { "pushed once" });
+    }
+    expect![[r#"
+        POST /report/break: HTTP/1.1 502 Bad Gateway, pushed once
+        GET /quotes/break: HTTP/1.1 503 Service Unavailable, pushed again
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn a_file_that_is_not_good_is_not_served() {
+    let path = std::env::temp_dir().join(format!("doorproxy-{}-bad.toml", std::process::id()));
+    std::fs::write(
+        &path,
+        config(["127.0.0.1:1".parse().unwrap(); 2]).replace("methods = [\"GET\", \"HEAD\"]\n", ""),
+    )
+    .unwrap();
+    let told = ["sidecar", "check", "explain"].map(|verb| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_doorproxy"));
+        match verb {
+            "sidecar" => command.args([verb, "--config"]).arg(&path),
+            "explain" => command.arg(verb).arg(&path).args(["--url", "/"]),
+            _ => command.arg(verb).arg(&path),
+        };
+        let output = command.output().unwrap();
+        let said = String::from_utf8(output.stdout).unwrap();
+        let codes: Vec<&str> = said
+            .lines()
+            .filter_map(|line| line.split_once(':'))
+            .map(|(code, _)| code)
+            .filter(|code| code.starts_with("error"))
+            .collect();
+        format!("{verb}: exit {}, {}\n", output.status.code().unwrap(), codes.join(" "))
+    });
+    std::fs::remove_file(&path).unwrap();
+    expect![[r#"
+        sidecar: exit 1, error[duplicate-name] error[order-retriable]
+        check: exit 1, error[duplicate-name] error[order-retriable]
+        explain: exit 2, 
+    "#]]
+    .assert_eq(&told.concat());
+}
--- /dev/null
+++ b/crates/sidecar/src/front.rs
@@ -0,0 +1,299 @@
+//! The application's side: it accepts connections, asks the configuration what each request is, and gives it its one
+//! answer. It must never choose a server, or answer by its own choice what the decisions hold.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Extension, Request, State};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, HeaderValue, StatusCode, Version, header};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use doorproxy::facade::{NewOp, Next, Push};
+use doorproxy::ids::{CategoryId, Key, OpId, Span, TenantId};
+use doorproxy::rng::mix_text;
+use doorproxy_balancer::bodies::{BodyFault, end_to_end, held_whole};
+use doorproxy_balancer::connection::{Connection, Stage};
+use doorproxy_balancer::endings::PushEnding;
+use doorproxy_balancer::front::{converse, dead_letter, nack};
+use doorproxy_balancer::note;
+use doorproxy_balancer::upstreams::Outgoing;
+use doorproxy_balancer::world::{Listener, World};
+use doorproxy_config::explain::Verdict;
+use doorproxy_config::plan::{Listen, Plan};
+use doorproxy_routes::request::Seen;
+use tokio::sync::{Notify, mpsc};
+
+use crate::pools::{Pool, start};
+
+/// An op that the decisions have not answered so long after its time is answered here, as a last resort.
+const OVERDUE: Span = Span(100);
+/// After it was asked to end, a sidecar finishes what it holds for so long at the most, beyond the longest TTL.
+const PARTING: Span = Span(3500);
+const BETWEEN_LOOKS: Span = Span(200);
+const BACKLOG: u32 = 1024;
+const SEND_BUFFER: u32 = 128 << 10;
+
+pub struct Sidecar<W: World> {
+    world: W,
+    plan: Plan,
+    pools: Vec<Pool<W>>,
+    /// What it calls itself in Via: two sidecars that send to each other would go round for ever.
+    via: String,
+    clients: Mutex<BTreeMap<u64, Arc<Connection<W>>>>,
+    freed: Notify,
+}
+
+impl<W: World> Sidecar<W> {
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Connection<W>>>> {
+        self.clients.lock().expect("no panic while the connections are held")
+    }
+
+    fn most(&self) -> usize {
+        self.plan.limits.sockets * 10 / 16
+    }
+
+    /// The place of the tenant, the one behind all that are named for everybody else.
+    fn tenant(&self, name: Option<&str>) -> TenantId {
+        let tenants = &self.plan.tenants;
+        let found = tenants.iter().position(|tenant| Some(tenant.name.as_str()) == name);
+        TenantId(found.unwrap_or(tenants.len()) as u16)
+    }
+
+    fn new_op(&self, verdict: &Verdict) -> NewOp {
+        let hint = verdict.hint.as_ref().and_then(|hint| hint.parse::<f64>().ok());
+        NewOp {
+            category: CategoryId(verdict.category as u16),
+            tenant: self.tenant(verdict.tenant.as_deref()),
+            key: verdict.key.as_ref().map(|key| Key(mix_text(key))),
+            hint: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| us / 1e6),
+            time_left: Span((verdict.ttl.as_micros() / 100) as i64),
+        }
+    }
+
+    /// What the request is; an answer where it goes no further.
+    fn judge(&self, head: &Parts) -> Result<Verdict, (StatusCode, String)> {
+        let refuse = |status: StatusCode, why: String| Err((status, format!("{why}\n")));
+        let field = |name: &str| {
+            let mut values = head.headers.get_all(name).iter();
+            let value = values.next()?.to_str().ok()?;
+            values.next().is_none().then_some(value)
+        };
+        if head.headers.get_all(header::HOST).iter().count() > 1 {
+            return refuse(StatusCode::BAD_REQUEST, "more than one Host".to_string());
+        }
+        let came_through = |value: &HeaderValue| {
+            let text = value.to_str().unwrap_or_default();
+            text.split(',').any(|hop| hop.split_whitespace().nth(1) == Some(&self.via))
+        };
+        if head.headers.get_all(header::VIA).iter().any(came_through) {
+            return refuse(StatusCode::LOOP_DETECTED, "this request has been here before".to_string());
+        }
+        let target = head.uri.to_string();
+        let judged = Seen::new(head.method.as_str(), &target, field("host"))
+            .and_then(|seen| self.plan.judge(&seen, field));
+        match judged {
+            Err(why) => refuse(StatusCode::BAD_REQUEST, why.to_string()),
+            Ok(None) => refuse(StatusCode::NOT_FOUND, "no route takes this request".to_string()),
+            Ok(Some(verdict)) => Ok(verdict),
+        }
+    }
+}
+
+async fn op<W: World>(
+    State(sidecar): State<Arc<Sidecar<W>>>,
+    Extension(client): Extension<Arc<Connection<W>>>,
+    request: Request,
+) -> Response {
+    let (mut head, body) = request.into_parts();
+    let verdict = match sidecar.judge(&head) {
+        Ok(verdict) => verdict,
+        Err(refused) => return refused.into_response(),
+    };
+    let body = match held_whole(body).await {
+        Ok(body) if body.len() as u64 <= sidecar.plan.limits.body => body,
+        Ok(_) | Err(BodyFault::TooLarge) => {
+            return (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n").into_response();
+        }
+        Err(BodyFault::Broken) => return (StatusCode::BAD_REQUEST, "the body broke off\n").into_response(),
+    };
+    end_to_end(&mut head.headers);
+    head.extensions.remove::<Arc<Connection<W>>>();
+    // The body is here: nobody is to wait before sending it.
+    head.headers.remove(header::EXPECT);
+    head.version = Version::HTTP_11;
+    add_via(&mut head.headers, &sidecar.via);
+    relay(&sidecar, &client, &verdict, head, body).await
+}
+
+fn add_via(headers: &mut HeaderMap, name: &str) {
+    if let Ok(via) = HeaderValue::try_from(format!("1.1 {name}")) {
+        headers.append(header::VIA, via);
+    }
+}
+
+/// An op in hand. Tells the decisions that its client has gone, if its handling ends before its answer.
+struct Taken<'a, W: World> {
+    sidecar: &'a Sidecar<W>,
+    pool: usize,
+    op: OpId,
+}
+
+impl<W: World> Drop for Taken<'_, W> {
+    fn drop(&mut self) {
+        self.sidecar.pools[self.pool].facade.report_gone(self.sidecar.world.now(), self.op);
+    }
+}
+
+async fn relay<W: World>(
+    sidecar: &Arc<Sidecar<W>>,
+    client: &Connection<W>,
+    verdict: &Verdict,
+    head: Parts,
+    body: Bytes,
+) -> Response {
+    let now = sidecar.world.now();
+    let new = sidecar.new_op(verdict);
+    let outgoing = Arc::new(Outgoing { head, body, ends: now + new.time_left });
+    let overdue = sidecar.world.sleep_until(outgoing.ends + OVERDUE);
+    tokio::pin!(overdue);
+    let facade = &sidecar.pools[verdict.pool].facade;
+    let op = facade.take(now, new);
+    *client.stage() = Stage::Held;
+    let _taken = Taken { sidecar, pool: verdict.pool, op };
+    let (answered, mut answers) = mpsc::channel(1);
+    loop {
+        tokio::select! {
+            biased;
+            Some(mut answer) = answers.recv() => {
+                let answer: &mut Response = &mut answer;
+                add_via(answer.headers_mut(), &sidecar.via);
+                return std::mem::take(answer);
+            }
+            next = facade.pick(op) => match next {
+                Next::Push(push) => {
+                    let task = carry(sidecar.clone(), verdict.pool, push, outgoing.clone(), answered.clone());
+                    sidecar.world.spawn(task);
+                }
+                Next::Nack(stay_away) => return nack(stay_away),
+                Next::DeadLetter => return dead_letter(),
+            },
+            () = &mut overdue => {
+                note!(sidecar.world, "op {} was not decided on in its time", op.0);
+                return dead_letter();
+            }
+        }
+    }
+}
+
+/// Makes one push and reports how it ended, also where the op is over or its client has gone.
+async fn carry<W: World>(
+    sidecar: Arc<Sidecar<W>>,
+    pool: usize,
+    push: Push,
+    outgoing: Arc<Outgoing>,
+    answered: mpsc::Sender<Response>,
+) {
+    let Pool { facade, upstreams } = &sidecar.pools[pool];
+    let ending = upstreams.push(facade, &push, &outgoing).await;
+    sidecar.world.push_ended(ending.name());
+    let is_final = facade.report(sidecar.world.now(), push, ending.meaning());
+    if let PushEnding::Answered(answer) = ending
+        && is_final
+    {
+        // Fails only where the client has gone meanwhile.
+        let _ = answered.try_send(answer.map(Body::from));
+    }
+}
+
+/// Serves until it is asked to end, then finishes what was taken.
+pub async fn serve<W: World>(
+    world: W,
+    plan: Plan,
+    seed: u64,
+    ask: impl Future<Output = ()>,
+) -> Result<(), String> {
+    let pools = start(&world, &plan, seed)?;
+    let mut listeners = Vec::new();
+    for listen in &plan.listen {
+        let Listen::Tcp(address) = listen else {
+            return Err(format!("sidecars can't listen on {} yet", listen.told()));
+        };
+        let listener =
+            world.listen(*address, SEND_BUFFER, BACKLOG).map_err(|error| format!("{address}: {error}"))?;
+        note!(world, "serving on {}", listener.address().unwrap_or(*address));
+        listeners.push(listener);
+    }
+    let grace = plan.categories.iter().map(|category| category.ttl).max().unwrap_or_default();
+    let grace = Span((grace.as_micros() / 100) as i64);
+    let via = format!("doorproxy-{}", plan.name.replace(|c: char| !c.is_ascii_alphanumeric(), "-"));
+    let sidecar = Arc::new(Sidecar {
+        world: world.clone(),
+        plan,
+        pools,
+        via,
+        clients: Mutex::default(),
+        freed: Notify::new(),
+    });
+    let router = Router::new().fallback(op::<W>).with_state(sidecar.clone());
+    let (connections, mut accepted) = mpsc::channel(1);
+    for listener in listeners {
+        let (world, sidecar, connections) = (world.clone(), sidecar.clone(), connections.clone());
+        world.clone().spawn(async move {
+            loop {
+                // Beyond its part of the sockets nothing more is accepted: it waits in the backlog.
+                while sidecar.clients().len() >= sidecar.most() {
+                    let _ =
+                        world.timeout(std::time::Duration::from_millis(50), sidecar.freed.notified()).await;
+                }
+                match listener.accept().await {
+                    Ok(stream) => {
+                        if connections.send(stream).await.is_err() {
+                            return;
+                        }
+                    }
+                    Err(error) => {
+                        note!(world, "a connection could not be accepted: {error}");
+                        world.sleep(std::time::Duration::from_millis(5)).await;
+                    }
+                }
+            }
+        });
+    }
+    drop(connections);
+    tokio::pin!(ask);
+    let mut number = 0;
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut ask => break,
+            Some(stream) = accepted.recv() => {
+                number += 1;
+                let (client, router) = (Arc::new(Connection::new(world.clone())), router.clone());
+                sidecar.clients().insert(number, client.clone());
+                let sidecar = sidecar.clone();
+                world.spawn(async move {
+                    converse(&sidecar.world, router, stream, &client).await;
+                    sidecar.clients().remove(&number);
+                    sidecar.freed.notify_one();
+                });
+            }
+        }
+    }
+    // The listeners go with their tasks: nobody takes in what they accept any more.
+    drop(accepted);
+    note!(world, "asked to end");
+    let until = world.now() + grace + PARTING;
+    loop {
+        let clients: Vec<Arc<Connection<W>>> = sidecar.clients().values().cloned().collect();
+        if clients.is_empty() || world.now() >= until {
+            note!(world, "ended with {} connections open", clients.len());
+            return Ok(());
+        }
+        clients.iter().for_each(|client| client.close.notify_one());
+        world.sleep_until(world.now() + BETWEEN_LOOKS).await;
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/pools.rs
@@ -0,0 +1,133 @@
+//! The pools of a sidecar: for each the decisions, told of its servers and of what the configuration allows, and the
+//! connections. It must never decide, or know of requests.
+
+use std::sync::Arc;
+
+use doorproxy::facade::{Facade, News};
+use doorproxy::host::{Condition, Listing};
+use doorproxy::ids::{CellId, KindId, Span, UpstreamId, ZoneId};
+use doorproxy::rng::mix_text;
+use doorproxy::terms::{Category, ColdStart, DedupGroup, Repeats, StartTerms};
+use doorproxy_balancer::ring::ring;
+use doorproxy_balancer::upstreams::{Outlet, Times, Upstreams};
+use doorproxy_balancer::world::World;
+use doorproxy_config::plan::{self, Plan, Server, Source};
+
+/// A sidecar stands alone: what several balancers would share out is all its own.
+const ALONE: u32 = 1;
+/// A first push and two further ones, as everywhere.
+const MOST_PUSHES: u16 = 3;
+/// The longest that a client is told to stay away.
+const STAY_AWAY: Span = Span(20_000);
+
+pub struct Pool<W: World> {
+    pub facade: Facade,
+    pub upstreams: Arc<Upstreams<W>>,
+}
+
+fn span(time: std::time::Duration) -> Span {
+    Span((time.as_micros() / 100) as i64)
+}
+
+fn category(of: &plan::Category) -> Category {
+    let repeats = match of.repeats {
+        plan::Repeats::Always => Repeats::Redeliverable,
+        plan::Repeats::Never => Repeats::AtMostOnce,
+        plan::Repeats::Within(group, window) => {
+            let group = match group {
+                plan::Group::All => DedupGroup::All,
+                plan::Group::Zone => DedupGroup::Zone,
+                plan::Group::Cell => DedupGroup::Cell,
+            };
+            Repeats::Deduplicated { group, window: span(window) }
+        }
+    };
+    Category {
+        benefit: of.benefit,
+        target_latency: span(of.target),
+        target_stretch: 0.0,
+        ttl: span(of.ttl),
+        repeats,
+    }
+}
+
+pub fn terms(plan: &Plan) -> StartTerms {
+    // Requests of nobody that the file names are a tenant of their own, without a bound.
+    let others = (!plan.tenants.is_empty()).then_some(f64::MAX);
+    StartTerms {
+        categories: plan.categories.iter().map(category).collect(),
+        tenant_shares: plan.tenants.iter().map(|tenant| tenant.share).chain(others).collect(),
+        balancers: ALONE,
+        ordinal: 0,
+        overage_benefit: 0.1,
+        max_pushes: MOST_PUSHES,
+        second_copies: true,
+        cancelling: true,
+        connect_within: span(plan.limits.connect),
+        longest_stay_away: Some(STAY_AWAY),
+        list_must_be_asked: false,
+        ask_within: Span::from_secs(10.0),
+        cold: ColdStart {
+            least_share: 0.2,
+            warm_within: Span::from_secs(20.0),
+            fall_multiple: 2.5,
+            fall_window: Span::from_secs(2.0),
+        },
+    }
+}
+
+fn rows(servers: &[Server]) -> Vec<Listing> {
+    let places = |names: Vec<&str>| {
+        let mut names = names;
+        names.sort_unstable();
+        names.dedup();
+        names.into_iter().map(str::to_string).collect::<Vec<String>>()
+    };
+    let zones = places(servers.iter().map(|server| server.zone.as_str()).collect());
+    let kinds = places(servers.iter().map(|server| server.kind.as_str()).collect());
+    let place =
+        |names: &[String], name: &str| names.iter().position(|known| known == name).unwrap_or(0) as u16;
+    let mut taken: Vec<u32> = Vec::new();
+    let mut rows = Vec::new();
+    for server in servers {
+        let mut id = mix_text(&server.name) as u32;
+        while taken.contains(&id) {
+            id = id.wrapping_add(1);
+        }
+        taken.push(id);
+        rows.push(Listing {
+            upstream: UpstreamId(id),
+            kind: KindId(place(&kinds, &server.kind)),
+            zone: ZoneId(place(&zones, &server.zone)),
+            cell: CellId(0),
+            size: server.size,
+            condition: Condition::Ready,
+            up_since: None,
+        });
+    }
+    rows
+}
+
+/// Starts the decisions of each pool. A pool that has to be asked for its servers can't be served yet.
+pub fn start<W: World>(world: &W, plan: &Plan, seed: u64) -> Result<Vec<Pool<W>>, String> {
+    let sockets = plan.limits.sockets * 5 / 16 / plan.pools.len().max(1);
+    let times = Times { connect: span(plan.limits.connect), keepalive: span(plan.limits.keepalive) };
+    let mut pools = Vec::new();
+    for (number, pool) in plan.pools.iter().enumerate() {
+        let Source::Servers(servers) = &pool.source else {
+            return Err(format!("pool {:?} has a discovery, which sidecars can't follow yet", pool.name));
+        };
+        // An answer that is no fault of the server's is the application's affair.
+        let upstreams = Upstreams::new(world.clone(), times, sockets, |status| !status.is_server_error());
+        let upstreams = Arc::new(upstreams);
+        let outlet = Box::new(Outlet(upstreams.clone()));
+        let facade = Facade::new(world.now(), seed.wrapping_add(number as u64), terms(plan), outlet);
+        let rows = rows(servers);
+        let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+        upstreams.follow(&rows, &addresses, true);
+        facade.tick(world.now(), News::Whole(&rows));
+        world.spawn(ring(world.clone(), facade.clone()));
+        pools.push(Pool { facade, upstreams });
+    }
+    Ok(pools)
+}
