--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,6 +1,7 @@
 //! The balancer as a library: the decisions carried out on connections, in whatever world the caller hands over.
 
 pub mod bodies;
+pub mod clients;
 pub mod connection;
 pub mod endings;
 pub mod form;
--- a/crates/balancer/src/whole.rs
+++ b/crates/balancer/src/whole.rs
@@ -43,8 +43,7 @@
     facade.tick(world.now(), News::Whole(&rows));
     world.spawn(ring::ring(world.clone(), facade.clone()));
     world.spawn(list::follow(world.clone(), list, facade.clone(), upstreams.clone(), source));
-    let sockets = given.sockets * 10 / 16;
     // The platform kills the process so long after SIGTERM as an op may take, where that is less.
     let grace = grace.min(given.terms.longest_ttl());
-    front::serve(Front::new(world, given, facade, upstreams, sockets, grace), ask).await
+    front::serve(Front::new(world, given, facade, upstreams, grace), ask).await
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -169,6 +169,7 @@
 
     fn limits(&mut self, file: &mut Table) -> Limits {
         let mut limits = Limits {
+            sharers: 1,
             sockets: 1024,
             body: 64 << 10,
             held: 64 << 10,
@@ -179,6 +180,7 @@
         let Some(value) = file.value("limits") else { return limits };
         let Some(mut table) = Table::of("limits", value, &mut self.found) else { return limits };
         let found = &mut self.found;
+        limits.sharers = table.number("sharers", (1.0, 1e5), 1.0, found) as u32;
         limits.sockets = table.number("sockets", (64.0, 1e6), 1024.0, found) as usize;
         let held = table.size("held", ("0B", "16MiB"), found);
         let place = table.place_of("held");
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -122,6 +122,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
+    /// Sidecars and balancers that send to the same servers, this one among them.
+    pub sharers: u32,
     pub sockets: usize,
     /// The largest body that is taken, and the largest that is held for a second push.
     pub body: u64,
--- a/crates/faults/src/stage.rs
+++ b/crates/faults/src/stage.rs
@@ -431,8 +431,12 @@
             "listen = [{{ address = \"{}\", allow_not_loopback = true }}]\n",
             fleet.balancers[place].address
         );
-        text +=
-            &format!("limits = {{ sockets = {}, keepalive = \"{}\" }}\n", self.script.sockets, ms(KEEPALIVE));
+        text += &format!(
+            "limits = {{ sharers = {}, sockets = {}, keepalive = \"{}\" }}\n",
+            self.script.balancers,
+            self.script.sockets,
+            ms(KEEPALIVE)
+        );
         let scope = ["all", "zone", "cell"][self.scope() as usize];
         let repeats = [
             "repeats = \"always\"".to_string(),
--- a/crates/sidecar/src/pools.rs
+++ b/crates/sidecar/src/pools.rs
@@ -13,12 +13,10 @@
 use doorproxy_balancer::world::World;
 use doorproxy_config::plan::{self, Plan, Server, Source};
 
-/// A sidecar stands alone: what several balancers would share out is all its own.
-const ALONE: u32 = 1;
 /// A first push and two further ones, as everywhere.
 const MOST_PUSHES: u16 = 3;
 /// The longest that a client is told to stay away.
-const STAY_AWAY: Span = Span(20_000);
+pub const STAY_AWAY: Span = Span(20_000);
 
 pub struct Pool<W: World> {
     pub facade: Facade,
@@ -57,8 +55,9 @@
     StartTerms {
         categories: plan.categories.iter().map(category).collect(),
         tenant_shares: plan.tenants.iter().map(|tenant| tenant.share).chain(others).collect(),
-        balancers: ALONE,
-        ordinal: 0,
+        balancers: plan.limits.sharers,
+        // Any place among them will do, if they differ.
+        ordinal: (mix_text(&plan.name) % u64::from(plan.limits.sharers.max(1))) as u32,
         overage_benefit: 0.1,
         max_pushes: MOST_PUSHES,
         second_copies: true,
