Take a sidecar's new file whole on SIGHUP, with ops in hand ended under the old one

A file changes while requests are in hand, and one that removes their category, route or pool must not touch them. Each request holds on to the state that it began with; a rejected file, or one that moves listeners, is named in the log and the old one kept; pools that stay alike keep their decisions.

--- a/crates/faults/src/stage.rs
+++ b/crates/faults/src/stage.rs
@@ -487,9 +487,11 @@
         };
         let seed = mix(self.script.seed ^ (place as u64) << 32 ^ u64::from(start));
         let (stage, of_world) = (self.clone(), world.clone());
+        let (_newer, of_newer) = tokio::sync::mpsc::channel(1);
         self.sim.spawn(world.process, async move {
-            let served =
-                doorproxy_sidecar::front::serve(of_world, plan, seed, async move { ask.notified().await });
+            let served = doorproxy_sidecar::front::serve(of_world, plan, seed, of_newer, async move {
+                ask.notified().await
+            });
             drop(served.await);
             let of_stage = stage.clone();
             stage.later(0, move || of_stage.balancer_ended(place, start));
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -15,7 +15,7 @@
 use doorproxy_balancer::{given, list, log, note, whole};
 use doorproxy_config::plan::Plan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// A load balancer for fleets of HTTP servers.
 #[derive(FromArgs)]
@@ -93,7 +93,7 @@
             return tool::exit(tool::check_file(&file, roster.as_deref(), against.as_deref(), json));
         }
         Command::Sidecar(call) => match tool::plan(&call.config) {
-            Ok(Some(plan)) => sidecar(plan, call.seed),
+            Ok(Some(plan)) => sidecar(call.config, plan, call.seed),
             unread => return tool::exit(unread.map(|_| false)),
         },
         Command::Explain(call) => return tool::exit(tool::explain(&call)),
@@ -167,12 +167,23 @@
     })
 }
 
-fn sidecar(plan: Plan, seed: Option<u64>) -> Result<(), String> {
+fn sidecar(config: PathBuf, plan: Plan, seed: Option<u64>) -> Result<(), String> {
     on_runtime(async move {
+        let mut reloads = on(SignalKind::hangup())?;
         let ask = asked_to_end()?;
         let world = Sockets::start();
+        let (newer, of_sidecar) = mpsc::channel(1);
+        tokio::spawn(async move {
+            while reloads.recv().await.is_some() {
+                match tool::plan_or_why(&config) {
+                    Ok(plan) => drop(newer.send(plan).await),
+                    // Guards against a file that is being replaced, or was spoilt: the old one has served so far.
+                    Err(fault) => note!(world, "the old file is kept: {fault}"),
+                }
+            }
+        });
         let seed = seed.unwrap_or(world.now().0 as u64);
-        doorproxy_sidecar::front::serve(world, plan, seed, ask).await
+        doorproxy_sidecar::front::serve(world, plan, seed, of_sidecar, ask).await
     })
 }
 
--- a/crates/program/src/tool.rs
+++ b/crates/program/src/tool.rs
@@ -96,6 +96,14 @@
     Ok(checked(path, None, false)?.plan)
 }
 
+/// The same in one line, for a log.
+pub fn plan_or_why(path: &Path) -> Result<Plan, String> {
+    let checked = check(&read(path)?, None);
+    let first = checked.findings.into_iter().find(|finding| finding.is_error);
+    let why = first.map_or(String::new(), |finding| format!("{}: {}", finding.code.name(), finding.sentence));
+    checked.plan.ok_or(why)
+}
+
 pub fn check_file(path: &Path, roster_path: Option<&Path>, against: Option<&Path>, as_json: bool) -> Outcome {
     let names = roster_path.map(roster).transpose()?;
     let names: Option<Vec<String>> =
--- a/crates/program/tests/sidecar.rs
+++ b/crates/program/tests/sidecar.rs
@@ -3,14 +3,18 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use expect_test::expect;
 
 #[derive(Clone, Default)]
-struct Trace(Arc<Mutex<Vec<String>>>);
+struct Trace(Arc<Mutex<Vec<String>>>, Arc<AtomicBool>);
 
 impl Trace {
     fn take(&self) -> String {
@@ -52,6 +56,12 @@
                     // Which of the servers it is, is a matter of chance.
                     trace.0.lock().unwrap().push(format!("  a server got {start} {body:?}, {via} via\n"));
                     let way = start.split(' ').nth(1).unwrap().rsplit('/').next().unwrap().to_string();
+                    if way == "slow" {
+                        // Until the test lets it go on.
+                        while !trace.1.load(Ordering::Relaxed) {
+                            thread::sleep(Duration::from_millis(5));
+                        }
+                    }
                     let answer = match way.as_str() {
                         "break" => return,
                         "gone" => "HTTP/1.1 404 Gone\r\nContent-Length: 4\r\n\r\nnone".to_string(),
@@ -74,12 +84,14 @@
     address
 }
 
-struct Sidecar(Child);
+/// The process, its file, and what it logs.
+struct Sidecar(Child, PathBuf, Receiver<String>);
 
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
+        let _ = std::fs::remove_file(&self.1);
     }
 }
 
@@ -95,10 +107,10 @@
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
     let line = lines.next().unwrap().unwrap();
     let address = line.strip_prefix("serving on ").unwrap_or_else(|| panic!("{line}")).parse().unwrap();
+    let (log, of_log) = channel();
     // Read on, or it would write into nothing.
-    thread::spawn(move || lines.for_each(drop));
-    std::fs::remove_file(&path).unwrap();
-    (Sidecar(child), address)
+    thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(log.send(line))));
+    (Sidecar(child, path, of_log), address)
 }
 
 fn ask(address: SocketAddr, request: &str) -> String {
@@ -206,6 +218,48 @@
     .assert_eq(&told);
 }
 
+/// Longer than anything here takes: only a test that has failed waits for it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[test]
+fn a_new_file_is_taken_whole_and_ops_in_hand_end_under_the_old_one() {
+    let trace = Trace::default();
+    let old = config([server(&trace), server(&trace)]);
+    let (sidecar, address) = start(&old, "reload");
+    let mut told = String::new();
+    let mut hang_up = |config: &str| {
+        std::fs::write(&sidecar.1, config).unwrap();
+        assert!(Command::new("kill").args(["-HUP", &sidecar.0.id().to_string()]).status().unwrap().success());
+        told += &format!("{}\n", sidecar.2.recv_timeout(PATIENCE).unwrap());
+    };
+    let slow = thread::spawn(move || ask(address, "GET /quotes/slow HTTP/1.1\r\nHost: x\r\n\r\n"));
+    while trace.0.lock().unwrap().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    // The category and the route of the op in hand are gone, and its pool has another name.
+    let new = old
+        .replace("category.read", "category.look")
+        .replace("\"read\"", "\"look\"")
+        .replace("/**\"\nmethods", "/new/**\"\nmethods");
+    let new = new.replace("pool.main", "pool.other").replace("pool = \"main\"", "pool = \"other\"");
+    hang_up(&new);
+    hang_up(&new.replace("methods = [\"GET\", \"HEAD\"]\n", ""));
+    hang_up(&new.replace("127.0.0.1:0", "127.0.0.1:1"));
+    for path in ["/new/fine", "/quotes/fine"] {
+        told += &format!("{path}: {}\n", ask(address, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")));
+    }
+    trace.1.store(true, Ordering::Relaxed);
+    told += &format!("the op in hand: {}\n", slow.join().unwrap());
+    expect![[r#"
+        serving by the new file
+        the old file is kept: order-retriable: this route names no methods, so it takes POST and others that are not safe to repeat, but its category "look" may run again (always); name only safe methods, take a category that repeats never, or say in may_repeat_unsafe why it does no harm
+        the old file is kept: listeners and sockets can only change with a new start
+        /new/fine: HTTP/1.1 200 OK
+        /quotes/fine: HTTP/1.1 404 Not Found
+        the op in hand: HTTP/1.1 200 OK
+    "#]].assert_eq(&told);
+}
+
 #[test]
 fn a_file_that_is_not_good_is_not_served() {
     let path = std::env::temp_dir().join(format!("doorproxy-{}-bad.toml", std::process::id()));
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -2,7 +2,7 @@
 //! answer. It must never choose a server, or answer by its own choice what the decisions hold.
 
 use std::future::Future;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use axum::Router;
 use axum::body::Body;
@@ -27,7 +27,7 @@
 use doorproxy_routes::request::Seen;
 use tokio::sync::mpsc;
 
-use crate::pools::{Pool, STAY_AWAY, start};
+use crate::pools::{Pool, STAY_AWAY, State as Serving, start};
 
 /// An op that the decisions have not answered so long after its time is answered here, as a last resort.
 const OVERDUE: Span = Span(100);
@@ -41,8 +41,9 @@
 
 pub struct Sidecar<W: World> {
     world: W,
-    plan: Plan,
-    pools: Vec<Pool<W>>,
+    seed: u64,
+    /// By what new requests are served; those in hand hold on to what they began with.
+    state: Mutex<Arc<Serving<W>>>,
     /// What it calls itself in Via: two sidecars that send to each other would go round for ever.
     via: String,
     clients: Arc<Clients<W>>,
@@ -52,6 +53,21 @@
 }
 
 impl<W: World> Sidecar<W> {
+    fn state(&self) -> Arc<Serving<W>> {
+        self.state.lock().expect("no panic while the state is held").clone()
+    }
+
+    /// Takes a new file whole, or keeps the old one and says why.
+    fn take(&self, plan: Plan) -> Result<(), String> {
+        let before = self.state();
+        if before.plan.listen != plan.listen || before.plan.limits.sockets != plan.limits.sockets {
+            return Err("listeners and sockets can only change with a new start".to_string());
+        }
+        let state = start(&self.world, plan, self.seed, Some(&before))?;
+        *self.state.lock().expect("no panic while the state is held") = Arc::new(state);
+        Ok(())
+    }
+
     /// Clients are told to go.
     fn is_parting(&self) -> bool {
         self.asked.get().is_some_and(|&asked| self.world.now() - asked >= self.grace.times(STILL_SERVING))
@@ -65,26 +81,8 @@
         answer
     }
 
-    /// The place of the tenant, the one behind all that are named for everybody else.
-    fn tenant(&self, name: Option<&str>) -> TenantId {
-        let tenants = &self.plan.tenants;
-        let found = tenants.iter().position(|tenant| Some(tenant.name.as_str()) == name);
-        TenantId(found.unwrap_or(tenants.len()) as u16)
-    }
-
-    fn new_op(&self, verdict: &Verdict) -> NewOp {
-        let hint = verdict.hint.as_ref().and_then(|hint| hint.parse::<f64>().ok());
-        NewOp {
-            category: CategoryId(verdict.category as u16),
-            tenant: self.tenant(verdict.tenant.as_deref()),
-            key: verdict.key.as_ref().map(|key| Key(mix_text(key))),
-            hint: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| us / 1e6),
-            time_left: Span((verdict.ttl.as_micros() / 100) as i64),
-        }
-    }
-
     /// What the request is; an answer where it goes no further.
-    fn judge(&self, head: &Parts) -> Result<Verdict, (StatusCode, String)> {
+    fn judge(&self, plan: &Plan, head: &Parts) -> Result<Verdict, (StatusCode, String)> {
         let refuse = |status: StatusCode, why: String| Err((status, format!("{why}\n")));
         let field = |name: &str| {
             let mut values = head.headers.get_all(name).iter();
@@ -102,8 +100,8 @@
             return refuse(StatusCode::LOOP_DETECTED, "this request has been here before".to_string());
         }
         let target = head.uri.to_string();
-        let judged = Seen::new(head.method.as_str(), &target, field("host"))
-            .and_then(|seen| self.plan.judge(&seen, field));
+        let judged =
+            Seen::new(head.method.as_str(), &target, field("host")).and_then(|seen| plan.judge(&seen, field));
         match judged {
             Err(why) => refuse(StatusCode::BAD_REQUEST, why.to_string()),
             Ok(None) => refuse(StatusCode::NOT_FOUND, "no route takes this request".to_string()),
@@ -112,6 +110,24 @@
     }
 }
 
+/// The place of the tenant, the one behind all that are named for everybody else.
+fn tenant(plan: &Plan, name: Option<&str>) -> TenantId {
+    let tenants = &plan.tenants;
+    let found = tenants.iter().position(|tenant| Some(tenant.name.as_str()) == name);
+    TenantId(found.unwrap_or(tenants.len()) as u16)
+}
+
+fn new_op(plan: &Plan, verdict: &Verdict) -> NewOp {
+    let hint = verdict.hint.as_ref().and_then(|hint| hint.parse::<f64>().ok());
+    NewOp {
+        category: CategoryId(verdict.category as u16),
+        tenant: tenant(plan, verdict.tenant.as_deref()),
+        key: verdict.key.as_ref().map(|key| Key(mix_text(key))),
+        hint: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| us / 1e6),
+        time_left: Span((verdict.ttl.as_micros() / 100) as i64),
+    }
+}
+
 async fn op<W: World>(
     State(sidecar): State<Arc<Sidecar<W>>>,
     Extension(client): Extension<Arc<Connection<W>>>,
@@ -123,12 +139,13 @@
 
 async fn answer<W: World>(sidecar: &Arc<Sidecar<W>>, client: &Connection<W>, request: Request) -> Response {
     let (mut head, body) = request.into_parts();
-    let verdict = match sidecar.judge(&head) {
+    let state = sidecar.state();
+    let verdict = match sidecar.judge(&state.plan, &head) {
         Ok(verdict) => verdict,
         Err(refused) => return refused.into_response(),
     };
     let body = match held_whole(body).await {
-        Ok(body) if body.len() as u64 <= sidecar.plan.limits.body => body,
+        Ok(body) if body.len() as u64 <= state.plan.limits.body => body,
         Ok(_) | Err(BodyFault::TooLarge) => {
             return (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n").into_response();
         }
@@ -143,7 +160,7 @@
     if sidecar.clients.turns_away() {
         return nack(Some(STAY_AWAY));
     }
-    relay(sidecar, client, &verdict, head, body).await
+    relay(sidecar, &state.pools[verdict.pool], client, new_op(&state.plan, &verdict), head, body).await
 }
 
 fn add_via(headers: &mut HeaderMap, name: &str) {
@@ -155,32 +172,32 @@
 /// An op in hand. Tells the decisions that its client has gone, if its handling ends before its answer.
 struct Taken<'a, W: World> {
     sidecar: &'a Sidecar<W>,
-    pool: usize,
+    pool: &'a Pool<W>,
     op: OpId,
 }
 
 impl<W: World> Drop for Taken<'_, W> {
     fn drop(&mut self) {
-        self.sidecar.pools[self.pool].facade.report_gone(self.sidecar.world.now(), self.op);
+        self.pool.facade.report_gone(self.sidecar.world.now(), self.op);
     }
 }
 
 async fn relay<W: World>(
     sidecar: &Arc<Sidecar<W>>,
+    pool: &Arc<Pool<W>>,
     client: &Connection<W>,
-    verdict: &Verdict,
+    new: NewOp,
     head: Parts,
     body: Bytes,
 ) -> Response {
     let now = sidecar.world.now();
-    let new = sidecar.new_op(verdict);
     let outgoing = Arc::new(Outgoing { head, body, ends: now + new.time_left });
     let overdue = sidecar.world.sleep_until(outgoing.ends + OVERDUE);
     tokio::pin!(overdue);
-    let facade = &sidecar.pools[verdict.pool].facade;
+    let facade = &pool.facade;
     let op = facade.take(now, new);
     *client.stage() = Stage::Held;
-    let _taken = Taken { sidecar, pool: verdict.pool, op };
+    let _taken = Taken { sidecar, pool, op };
     let (answered, mut answers) = mpsc::channel(1);
     loop {
         tokio::select! {
@@ -192,7 +209,7 @@
             }
             next = facade.pick(op) => match next {
                 Next::Push(push) => {
-                    let task = carry(sidecar.clone(), verdict.pool, push, outgoing.clone(), answered.clone());
+                    let task = carry(sidecar.world.clone(), pool.clone(), push, outgoing.clone(), answered.clone());
                     sidecar.world.spawn(task);
                 }
                 Next::Nack(stay_away) => return nack(stay_away),
@@ -208,16 +225,16 @@
 
 /// Makes one push and reports how it ended, also where the op is over or its client has gone.
 async fn carry<W: World>(
-    sidecar: Arc<Sidecar<W>>,
-    pool: usize,
+    world: W,
+    pool: Arc<Pool<W>>,
     push: Push,
     outgoing: Arc<Outgoing>,
     answered: mpsc::Sender<Response>,
 ) {
-    let Pool { facade, upstreams } = &sidecar.pools[pool];
+    let Pool { facade, upstreams, .. } = &*pool;
     let ending = upstreams.push(facade, &push, &outgoing).await;
-    sidecar.world.push_ended(ending.name());
-    let is_final = facade.report(sidecar.world.now(), push, ending.meaning());
+    world.push_ended(ending.name());
+    let is_final = facade.report(world.now(), push, ending.meaning());
     if let PushEnding::Answered(answer) = ending
         && is_final
     {
@@ -231,9 +248,9 @@
     world: W,
     plan: Plan,
     seed: u64,
+    mut newer: mpsc::Receiver<Plan>,
     ask: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let pools = start(&world, &plan, seed)?;
     let mut listeners = Vec::new();
     for listen in &plan.listen {
         let Listen::Tcp(address) = listen else {
@@ -248,9 +265,10 @@
     let grace = Span((grace.as_micros() / 100) as i64);
     let via = format!("doorproxy-{}", plan.name.replace(|c: char| !c.is_ascii_alphanumeric(), "-"));
     let clients = Clients::new(world.clone(), plan.limits.sockets);
+    let state = Mutex::new(Arc::new(start(&world, plan, seed, None)?));
     let (asked, of_clients) = (OnceLock::new(), clients.clone());
     let sidecar =
-        Arc::new(Sidecar { world: world.clone(), plan, pools, via, clients: of_clients, asked, grace });
+        Arc::new(Sidecar { world: world.clone(), seed, state, via, clients: of_clients, asked, grace });
     let router = Router::new().fallback(op::<W>).with_state(sidecar.clone());
     let keeper = clients.clone();
     world.spawn(async move { keeper.keep_few_idle().await });
@@ -263,7 +281,17 @@
             }
         });
     }
-    ask.await;
+    tokio::pin!(ask);
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut ask => break,
+            Some(plan) = newer.recv() => match sidecar.take(plan) {
+                Ok(()) => note!(world, "serving by the new file"),
+                Err(fault) => note!(world, "the old file is kept: {fault}"),
+            },
+        }
+    }
     note!(world, "asked to end");
     let asked = world.now();
     sidecar.asked.get_or_init(|| asked);
--- a/crates/sidecar/src/pools.rs
+++ b/crates/sidecar/src/pools.rs
@@ -12,6 +12,7 @@
 use doorproxy_balancer::upstreams::{Outlet, Times, Upstreams};
 use doorproxy_balancer::world::World;
 use doorproxy_config::plan::{self, Plan, Server, Source};
+use tokio::sync::mpsc;
 
 /// A first push and two further ones, as everywhere.
 const MOST_PUSHES: u16 = 3;
@@ -21,6 +22,8 @@
 pub struct Pool<W: World> {
     pub facade: Facade,
     pub upstreams: Arc<Upstreams<W>>,
+    /// The decisions are called for as long as somebody has this.
+    _alive: mpsc::Sender<()>,
 }
 
 fn span(time: std::time::Duration) -> Span {
@@ -108,12 +111,36 @@
     rows
 }
 
-/// Starts the decisions of each pool. A pool that has to be asked for its servers can't be served yet.
-pub fn start<W: World>(world: &W, plan: &Plan, seed: u64) -> Result<Vec<Pool<W>>, String> {
+/// What is served by: a file, and the pools that it names.
+pub struct State<W: World> {
+    pub plan: Plan,
+    pub pools: Vec<Arc<Pool<W>>>,
+}
+
+/// Starts the decisions of each pool. One that an earlier file had just so goes on with all that it has learned. A pool
+/// that has to be asked for its servers can't be served yet.
+pub fn start<W: World>(
+    world: &W,
+    plan: Plan,
+    seed: u64,
+    before: Option<&State<W>>,
+) -> Result<State<W>, String> {
     let sockets = plan.limits.sockets * 5 / 16 / plan.pools.len().max(1);
     let times = Times { connect: span(plan.limits.connect), keepalive: span(plan.limits.keepalive) };
+    let alike = before.filter(|before| {
+        let old = &before.plan;
+        let names =
+            (&old.categories, &old.tenants, &old.limits) == (&plan.categories, &plan.tenants, &plan.limits);
+        names && old.name == plan.name && old.pools.len() == plan.pools.len()
+    });
     let mut pools = Vec::new();
     for (number, pool) in plan.pools.iter().enumerate() {
+        if let Some(before) = alike
+            && let Some(place) = before.plan.pools.iter().position(|old| old == pool)
+        {
+            pools.push(before.pools[place].clone());
+            continue;
+        }
         let Source::Servers(servers) = &pool.source else {
             return Err(format!("pool {:?} has a discovery, which sidecars can't follow yet", pool.name));
         };
@@ -121,13 +148,21 @@
         let upstreams = Upstreams::new(world.clone(), times, sockets, |status| !status.is_server_error());
         let upstreams = Arc::new(upstreams);
         let outlet = Box::new(Outlet(upstreams.clone()));
-        let facade = Facade::new(world.now(), seed.wrapping_add(number as u64), terms(plan), outlet);
+        let facade = Facade::new(world.now(), seed.wrapping_add(number as u64), terms(&plan), outlet);
         let rows = rows(servers);
         let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
         upstreams.follow(&rows, &addresses, true);
         facade.tick(world.now(), News::Whole(&rows));
-        world.spawn(ring(world.clone(), facade.clone()));
-        pools.push(Pool { facade, upstreams });
+        let (alive, mut gone) = mpsc::channel(1);
+        let (of_ring, of_facade) = (world.clone(), facade.clone());
+        world.spawn(async move {
+            tokio::select! {
+                biased;
+                _ = gone.recv() => {}
+                () = ring(of_ring, of_facade) => {}
+            }
+        });
+        pools.push(Arc::new(Pool { facade, upstreams, _alive: alive }));
     }
-    Ok(pools)
+    Ok(State { plan, pools })
 }
