--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -277,13 +277,13 @@
 }
 
 #[test]
-fn a_hundred_thousand_random_requests_find_what_the_slow_matcher_finds() {
+fn a_hundred_thousand_random_sets_find_what_the_slow_matcher_finds() {
     let mut rng = Pcg::new(11);
     let mut below = |most: u32| ((u64::from(rng.draw()) * u64::from(most)) >> 32) as usize;
     let words = ["a", "b", "c", ""];
     let hosts = ["h.x", "x", "g.h.x", "y"];
     let mut found_any = 0;
-    for _ in 0..10_000 {
+    for _ in 0..100_000 {
         let mut patterns: Vec<Pattern> = Vec::new();
         for _ in 0..1 + below(16) {
             let count = below(4);
@@ -311,7 +311,7 @@
             }
         }
         let router = Router::new(patterns.clone());
-        for _ in 0..10 {
+        for _ in 0..2 {
             let count = 1 + below(4);
             let path: Vec<&str> =
                 (0..count).map(|place| words[below(if place + 1 == count { 4 } else { 3 })]).collect();
