Take out of the fault runs what nobody reads

Rereading the change found a look-up of listeners that nothing calls, a category and a start number that are kept and never read, and a client's two halves of an op bound in three ways. All are gone.

--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -36,7 +36,6 @@
 }
 
 pub struct Ask {
-    pub category: &'static str,
     pub repeats: Repeats,
     pub start: String,
     pub body: Vec<u8>,
--- a/crates/faults/src/client.rs
+++ b/crates/faults/src/client.rs
@@ -98,10 +98,10 @@
             let id = number + 1 + (retry << 32);
             let mut rng = Pcg::new(mix(self.stage.script.seed ^ mix(id)));
             let Some((got, balancer)) = self.ask(id, number, &mut rng, in_storm).await else { return };
-            if let Some((of, start)) = balancer
+            if let Some((of, _)) = balancer
                 && retry > 0
                 && matches!(got, Got::Answer(_))
-                && self.stage.was_killed_lately(of, start)
+                && self.stage.was_killed_lately(of)
             {
                 self.stage.book.held().cases.count(HARD_CASES[8]);
             }
@@ -181,7 +181,7 @@
         head += &format!("Req-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n", ttl / MS, body.len());
         let gives_up = (below(rng, 12) == 0).then(|| below(rng, ttl));
         let slowly = (below(rng, 12) == 0).then(|| below(rng, 300) * MS);
-        self.stage.book.held().asked(id, Ask { category: name, repeats, start, body: body.clone(), work });
+        self.stage.book.held().asked(id, Ask { repeats, start, body: body.clone(), work });
         let mut sends = 0;
         loop {
             let fresh = in_storm || self.reconnects || sends > 0;
@@ -325,19 +325,16 @@
     ) -> io::Result<Got> {
         let Line { wire, reader, written } = line;
         let bytes = [head.as_bytes(), body].concat();
-        let (first, rest) = match slowly {
-            Some(pause) => {
-                let first = bytes.len() * 2 / 3;
-                if wire.write(&bytes[..first]).await.is_err() {
-                    return Ok(Got::Cut);
-                }
-                *written += first as u64;
-                self.world.nap(pause).await;
-                bytes.split_at(first)
+        let mut rest = bytes.as_slice();
+        if let Some(pause) = slowly {
+            let (first, behind) = bytes.split_at(bytes.len() * 2 / 3);
+            if wire.write(first).await.is_err() {
+                return Ok(Got::Cut);
             }
-            None => bytes.split_at(0),
-        };
-        let _ = first;
+            *written += first.len() as u64;
+            self.world.nap(pause).await;
+            rest = behind;
+        }
         if wire.write(rest).await.is_err() {
             return Ok(Got::Cut);
         }
--- a/crates/faults/src/net.rs
+++ b/crates/faults/src/net.rs
@@ -251,10 +251,6 @@
         }
     }
 
-    pub fn listens(&self, at: SocketAddr) -> bool {
-        self.listeners.contains_key(&at)
-    }
-
     /// Connections of this process, on either side.
     pub fn held_by(&self, process: Process) -> usize {
         let ends = self.conns.values().flat_map(|conn| &conn.ends);
--- a/crates/faults/src/stage.rs
+++ b/crates/faults/src/stage.rs
@@ -64,7 +64,7 @@
     source: Option<watch::Sender<SocketAddr>>,
     is_dealt: bool,
     starts: u32,
-    killed: Vec<(u32, Micros)>,
+    killed: Vec<Micros>,
     down: u32,
     is_asked: bool,
 }
@@ -280,11 +280,11 @@
     }
 
     /// Another balancer than this was killed a moment ago.
-    pub fn was_killed_lately(&self, balancer: usize, _start: u32) -> bool {
+    pub fn was_killed_lately(&self, balancer: usize) -> bool {
         let now = self.sim.now();
         let fleet = self.fleet();
         let others = fleet.balancers.iter().enumerate().filter(|(place, _)| *place != balancer);
-        others.flat_map(|(_, seat)| &seat.killed).any(|(_, at)| now - at < 3 * SECOND)
+        others.flat_map(|(_, seat)| &seat.killed).any(|at| now - at < 3 * SECOND)
     }
 
     pub fn list_is(&self, mode: Kind) -> bool {
@@ -573,9 +573,8 @@
             let seat = &mut fleet.balancers[place];
             seat.down += 1;
             seat.facade = None;
-            let start = seat.starts;
             if seat.world.is_some() {
-                seat.killed.push((start, now));
+                seat.killed.push(now);
             }
             (seat.world.take(), seat.host)
         };
