--- a/crates/drill/src/session.rs
+++ b/crates/drill/src/session.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use doorproxy::facts;
-use doorproxy::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
+use doorproxy::host::{Condition, Ending, Host, Listing, OpArrival, ProbeEnd, PushEnd};
 use doorproxy::ids::{
     AlarmId, At, CategoryId, CellId, Key, KindId, OpId, PushNo, Span, TenantId, UpstreamId, ZoneId,
 };
@@ -61,6 +61,10 @@
         self.record(22, &[&upstream.0.to_be_bytes()]);
     }
 
+    fn probe(&mut self, upstream: UpstreamId) {
+        self.record(21, &[&upstream.0.to_be_bytes()]);
+    }
+
     fn watch_list(&mut self) {
         self.record(26, &[&[1]]);
     }
@@ -204,10 +208,12 @@
                 guarded(reply, instance, || balancer.op_arrived(now, arrival));
             }
             26 => {
-                reader.u32("an upstream")?;
+                let upstream = UpstreamId(reader.u32("an upstream")?);
                 ending(reader)?;
                 reader.f64("duration")?;
-                load_report(reader)?;
+                let report = load_report(reader)?;
+                let load = balancer.load_in(&report);
+                guarded(reply, instance, || balancer.probe_ended(now, ProbeEnd { upstream, load }));
             }
             _ => unreachable!("checked above"),
         }
@@ -295,9 +301,9 @@
     })
 }
 
-fn load_report(reader: &mut Reader) -> Result<(), Fault> {
+fn load_report(reader: &mut Reader) -> Result<Vec<f64>, Fault> {
     let values = reader.u8("the length of a load report")?;
-    reader.take(usize::from(values) * 4, "a load report").map(|_| ())
+    (0..values).map(|_| reader.f32("a value of a load report")).collect()
 }
 
 fn listing(reader: &mut Reader) -> Result<Listing, Fault> {
--- a/crates/sidecar/src/pools.rs
+++ b/crates/sidecar/src/pools.rs
@@ -48,6 +48,7 @@
         target_latency: span(of.target),
         target_stretch: 0.0,
         ttl: span(of.ttl),
+        late_benefit: 0.0,
         repeats,
     }
 }
@@ -67,6 +68,9 @@
         cancelling: true,
         connect_within: span(plan.limits.connect),
         longest_stay_away: Some(STAY_AWAY),
+        load_in_probes: None,
+        probe_price: 0.0,
+        zone: None,
         list_must_be_asked: false,
         ask_within: Span::from_secs(10.0),
         cold: ColdStart {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, Waker};
 
-use crate::host::{Ending, Host, Listing, OpArrival, PushEnd};
+use crate::host::{Ending, Host, Listing, OpArrival, ProbeEnd, PushEnd};
 use crate::ids::{AlarmId, At, CategoryId, Key, OpId, PushNo, Span, TenantId, UpstreamId};
 use crate::policy::Balancer;
 use crate::terms::StartTerms;
@@ -73,6 +73,9 @@
     next_tick: Option<At>,
     sooner: Flag,
     watch: Flag,
+    /// Servers whose load is to be asked for; the decisions want one of each at most.
+    probes: VecDeque<UpstreamId>,
+    probe: Flag,
     last_op: u32,
     now: Option<At>,
 }
@@ -169,6 +172,12 @@
         self.outlets.close_idle(upstream);
     }
 
+    fn probe(&mut self, upstream: UpstreamId) {
+        let mut desk = locked(&self.desk);
+        desk.probes.push_back(upstream);
+        desk.probe.raise();
+    }
+
     fn watch_list(&mut self) {
         locked(&self.desk).watch.raise();
     }
@@ -274,6 +283,19 @@
         }
     }
 
+    /// Waits until servers are to be asked for their load; each is told of to [`Facade::report_probe`] in the end.
+    pub async fn probes_wanted(&self) -> Vec<UpstreamId> {
+        poll_fn(|cx| {
+            let mut desk = locked(&self.desk);
+            desk.probe.poll(cx).map(|()| desk.probes.drain(..).collect())
+        })
+        .await
+    }
+
+    pub fn report_probe(&self, now: At, end: ProbeEnd) {
+        self.decide(now, |balancer| balancer.probe_ended(now, end));
+    }
+
     /// Lets the time pass and hands over what the list brought. Returns when to be called next.
     pub fn tick(&self, now: At, news: News) -> Option<At> {
         self.decide(now, |balancer| match news {
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use crate::ids::Span;
+use crate::ids::{Span, ZoneId};
 use crate::terms::{Category, ColdStart, DedupGroup, Repeats, StartTerms};
 
 #[derive(Default)]
@@ -60,10 +60,45 @@
             target_latency: self.span(&of("target_latency"))?,
             target_stretch: if self.0.contains_key(&stretch) { self.number(&stretch)? } else { 0.0 },
             ttl: self.span(&of("ttl"))?,
+            late_benefit: self.part_or_none(&of("overdue_benefit"))?,
             repeats,
         })
     }
 
+    /// The place of the load among a report's values, where servers tell it to probes and only to them.
+    fn load_in_probes(&self) -> Result<Option<usize>, String> {
+        let source = if self.0.contains_key("report.source") { self.text("report.source")? } else { "none" };
+        match source {
+            "probe" => {}
+            "answers" | "none" => return Ok(None),
+            other => return Err(format!("a known report.source, not {other:?}")),
+        }
+        if !self.value::<bool>("limits.probes")? {
+            return Ok(None);
+        }
+        let fields = self.list("report.fields")?;
+        Ok(fields.iter().position(|field| field == "active"))
+    }
+
+    /// Plain values stand in one text behind commas, or one by one where a configuration was written out.
+    fn list(&self, path: &str) -> Result<Vec<String>, String> {
+        if let Some(text) = self.0.get(path) {
+            return Ok(text.split(',').filter(|item| !item.is_empty()).map(str::to_string).collect());
+        }
+        let length: usize = self.value(&format!("{path}.count"))?;
+        (0..length).map(|place| self.text(&format!("{path}.{place}")).map(str::to_string)).collect()
+    }
+
+    /// A part of one, or nothing where it is not said.
+    fn part_or_none(&self, path: &str) -> Result<f64, String> {
+        let part = if self.0.contains_key(path) { self.number(path)? } else { 0.0 };
+        (part <= 1.0).then_some(part).ok_or_else(|| format!("start fact {path} of 1 at most, not {part}"))
+    }
+
+    fn zone(&self) -> Result<Option<ZoneId>, String> {
+        if self.0.contains_key("az") { self.value("az").map(ZoneId).map(Some) } else { Ok(None) }
+    }
+
     pub fn terms(&self) -> Result<StartTerms, String> {
         let categories = self.value("categories.count")?;
         let tenants = self.length("projects.count")?;
@@ -89,6 +124,9 @@
             } else {
                 None
             },
+            load_in_probes: self.load_in_probes()?,
+            probe_price: self.part_or_none("prices.probe")?,
+            zone: self.zone()?,
             list_must_be_asked,
             ask_within: self.span("obligations.ask_within")?,
             cold: ColdStart {
--- a/src/host.rs
+++ b/src/host.rs
@@ -14,6 +14,8 @@
     fn alarm(&mut self, at: At, alarm: AlarmId);
     fn close_idle(&mut self, upstream: UpstreamId);
     fn watch_list(&mut self);
+    /// Asks a server for its load, beside its ops.
+    fn probe(&mut self, upstream: UpstreamId);
     fn log(&mut self, line: &str);
 }
 
@@ -58,6 +60,13 @@
     pub took: Span,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProbeEnd {
+    pub upstream: UpstreamId,
+    /// The ops that it holds, from all balancers. None: it did not say.
+    pub load: Option<f64>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
     Ready,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
+use crate::host::{Condition, Ending, Host, Listing, OpArrival, ProbeEnd, PushEnd};
 use crate::ids::{AlarmId, At, CategoryId, KindId, OpId, PushNo, Span, TenantId, UpstreamId};
 use crate::rng::{Pcg, mix};
 use crate::samples::Ring;
@@ -40,6 +40,16 @@
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
 /// one server that falls over costs more than some that idle for seconds.
 const COLD_MARGIN: f64 = 0.8;
+/// Probes for an op in one go: the two drawn, and two more should these have no room.
+const MOST_PROBES: u8 = 4;
+/// The part of the shortest target that a load stays known, and that an op waits for a probe.
+const PROBE_PART: f64 = 0.05;
+const WARM: f64 = 1.0;
+/// What may be spent on probes, as a part of all benefit.
+const PROBE_BUDGET: f64 = 0.02;
+const MOST_SAVED: f64 = 8.0;
+/// The part of a limit that is open to ops of no benefit.
+const FOR_ALL: f64 = 0.4;
 /// An alarm of this id asks for the list; an op's alarm carries the op's id, which is smaller.
 const ASK_LIST: AlarmId = AlarmId(1 << 32);
 
@@ -77,6 +87,7 @@
     hints: Ring<f64, HINTS>,
     hints_seen: usize,
     tip_bound: f64,
+    probes_left: f64,
     in_share: Vec<VecDeque<At>>,
     out: u32,
     answered_at: Option<At>,
@@ -133,6 +144,7 @@
             hints: Ring::default(),
             hints_seen: 0,
             tip_bound: 0.0,
+            probes_left: 0.0,
             in_share,
             out: 0,
             answered_at: None,
@@ -190,6 +202,9 @@
     /// meet each server too seldom to learn of it, and hold more connections to it than it takes.
     fn subset(&self, group: usize) -> usize {
         let members = self.members.get(group).map_or(0, Vec::len);
+        if self.terms.load_in_probes.is_some() {
+            return members;
+        }
         let part = LEAST_LIMIT / f64::from(self.terms.balancers.max(1));
         members.min(((members as f64 * part).ceil() as usize).max(2))
     }
@@ -271,6 +286,10 @@
             self.note_hint(hint);
         }
         let op = arrival.op;
+        let each = self.probes_each();
+        if each >= 1.0 {
+            self.probes_left = (self.probes_left + each).min(MOST_SAVED);
+        }
         let ends = now + arrival.time_left;
         let target = (now + target).min(ends);
         self.ops.insert(op, Op::arrived(now, arrival, work, target, ends, benefit));
@@ -365,18 +384,27 @@
         quickest.filter(|(_, needed)| *needed <= left).map_or(home, |(group, _)| group)
     }
 
-    fn choose(&mut self, now: At, op: OpId) -> Option<usize> {
+    fn choose(&mut self, now: At, id: OpId) -> Option<usize> {
         self.reckon_borne(now);
         let salt = u64::from(self.rng.draw());
-        let op = &self.ops[&op];
+        let op = &self.ops[&id];
         let all = self.table.kinds.len();
         if self.full_at.is_some_and(|(at, work)| at == now && work <= op.work) && op.pushes.is_empty() {
             return None;
         }
         let home = self.fitting(now, op, self.home(op));
-        let found = self.draw(now, op, salt, home);
-        let found = found.or_else(|| if home == DEFAULT { None } else { self.draw(now, op, salt, DEFAULT) });
-        let found = found.or_else(|| self.draw(now, op, salt, all));
+        let mut groups = vec![home, DEFAULT, all];
+        groups.dedup();
+        let nears: &[bool] = if self.knows_loads() { &[true, false] } else { &[false] };
+        let mut tries = nears.iter().flat_map(|&near| groups.iter().map(move |&group| (group, near)));
+        let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
+        if let Some(drawn) = drawn
+            && self.ask(now, id, drawn)
+        {
+            return None;
+        }
+        let op = &self.ops[&id];
+        let found = drawn;
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing. And
         // against nacks of ops that lose least by a failure while a server that fails some is idle.
         let doubted = |place: usize| self.servers[place].to_prove > 0;
@@ -390,7 +418,7 @@
             let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
             least.map(|&(_, place)| place)
         });
-        if found.is_none() && op.pushes.is_empty() {
+        if found.is_none() && op.pushes.is_empty() && !self.knows_loads() {
             self.full_at = Some((now, op.work));
         }
         found
@@ -398,7 +426,7 @@
 
     /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so
     /// that it meets servers that know it; chance draws for an op without a key.
-    fn draw(&self, now: At, op: &Op, salt: u64, group: usize) -> Option<usize> {
+    fn draw(&self, now: At, op: &Op, salt: u64, group: usize, near: bool) -> Option<usize> {
         let is_tried = |place: &&usize| {
             let server = &self.servers[**place];
             let is_member = server.is_ready() && (server.group == group || group == self.table.kinds.len());
@@ -410,17 +438,107 @@
         let basis = mix(op.arrival.key.map_or(salt, |key| key.0));
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
-        let groups = groups.filter(|&group| self.has_room(group) && now >= self.rests_until(group));
+        let groups = groups
+            .filter(|&group| self.knows_loads() || self.has_room(group) && now >= self.rests_until(group));
         for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
-            if drawn <= best[1] || !self.may_take(now, op, place) {
+            let is_far = near && Some(self.servers[place].zone) != self.terms.zone;
+            if drawn <= best[1] || is_far || !self.may_take(now, op, place) {
                 continue;
             }
             best = if drawn > best[0] { [drawn, best[0]] } else { [best[0], drawn] };
         }
         let (_, first) = best[0]?;
         let Some((_, second)) = best[1] else { return Some(first) };
-        Some(if self.servers[second].in_flight < self.servers[first].in_flight { second } else { first })
+        let load = |place: usize| self.load(now, &self.servers[place]);
+        let known = |place: usize| self.is_known(now, &self.servers[place]);
+        let warm = if self.probes_each() >= 1.0 { WARM } else { 0.0 };
+        if warm > 0.0 && (!known(first) || load(first) <= WARM) {
+            return Some(first);
+        }
+        if warm > 0.0 && !known(second) {
+            return Some(second);
+        }
+        Some(if load(second) + warm < load(first) { second } else { first })
+    }
+
+    // Loads that servers tell.
+
+    fn knows_loads(&self) -> bool {
+        self.terms.load_in_probes.is_some()
+    }
+
+    pub fn load_in(&self, report: &[f64]) -> Option<f64> {
+        self.terms.load_in_probes.and_then(|place| report.get(place)).copied()
+    }
+
+    fn probes_each(&self) -> f64 {
+        if !self.knows_loads() {
+            return 0.0;
+        }
+        PROBE_BUDGET / self.terms.probe_price.max(PROBE_BUDGET / f64::from(MOST_PROBES))
+    }
+
+    fn probe_wait(&self) -> Span {
+        let least = self.terms.categories.iter().map(|category| category.target_latency).min();
+        least.unwrap_or(Span::ZERO).times(PROBE_PART)
+    }
+
+    fn is_known(&self, now: At, server: &Server) -> bool {
+        server.seen.is_some_and(|(at, _)| now - at <= self.probe_wait())
+    }
+
+    /// What a server holds: as it told last and what was pushed to it since, or what it holds of ours.
+    fn load(&self, now: At, server: &Server) -> f64 {
+        let own = f64::from(server.in_flight);
+        let Some((at, load)) = server.seen.filter(|_| self.is_known(now, server)) else { return own };
+        own.max(load + server.sent.within(now, now - at + Span(1)).0 as f64)
+    }
+
+    /// Probes those drawn whose load is not known. True where the op waits for that.
+    fn ask(&mut self, now: At, id: OpId, place: usize) -> bool {
+        let mut is_asking = false;
+        let (is_known, op) = (self.is_known(now, &self.servers[place]), &self.ops[&id]);
+        if self.knows_loads() && !is_known && op.pushes.is_empty() {
+            if self.servers[place].probed_at.is_none() && op.probes < MOST_PROBES && self.probes_left >= 1.0 {
+                self.probes_left -= 1.0;
+                self.servers[place].probed_at = Some(now);
+                self.host.probe(self.servers[place].id);
+                self.ops.get_mut(&id).expect("an op that is placed is held").probes += 1;
+            }
+            is_asking |= self.servers[place].probed_at.is_some();
+        }
+        self.ops.get_mut(&id).expect("an op that is placed is held").asking = is_asking.then_some(place);
+        is_asking
+    }
+
+    pub fn probe_ended(&mut self, now: At, end: ProbeEnd) {
+        let Some(&place) = self.places.get(&end.upstream) else { return };
+        let server = &mut self.servers[place];
+        server.probed_at = None;
+        if let Some(load) = end.load {
+            server.seen = Some((now, load));
+        }
+        for id in &self.queue {
+            let op = self.ops.get_mut(id).expect("an op that waits is held");
+            if op.asking == Some(place) {
+                op.again_at = now;
+            }
+        }
+        self.serve_queue(now);
+    }
+
+    /// No room was found: asked again after a while, and after twice as long each time.
+    fn put_off(&mut self, now: At, id: OpId) {
+        let (usual, wait) = (self.usual_time(DEFAULT).times(0.25), self.probe_wait());
+        let op = self.ops.get_mut(&id).expect("an op that is placed is held");
+        if op.asking.is_some() {
+            op.again_at = now + wait;
+            return;
+        }
+        self.crowded_at = Some(now);
+        op.again_at = now + usual.times(f64::from(1 << op.rounds.min(4)));
+        (op.rounds, op.probes) = (op.rounds + 1, 0);
     }
 
     /// Guards against hundreds of balancers that each round their part of every server up to a push: together
@@ -437,7 +555,14 @@
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_new = !op.pushes.iter().any(|push| push.server == place);
-        is_new && self.may_repeat_on(now, op, server) && self.bears(now, server, op.work)
+        let has_room = !self.knows_loads()
+            || self.load(now, server) < LEAST_LIMIT * self.open_part(op) * self.cold_share(now, server);
+        is_new && has_room && self.may_repeat_on(now, op, server) && self.bears(now, server, op.work)
+    }
+
+    fn open_part(&self, op: &Op) -> f64 {
+        let best = self.terms.categories.iter().map(|category| category.benefit).fold(0.0, f64::max);
+        FOR_ALL + (1.0 - FOR_ALL) * op.benefit / best
     }
 
     fn may_try(&self, now: At, op: &Op, place: usize) -> bool {
@@ -451,7 +576,14 @@
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        !self.is_silent(now, server) && self.may_get(now, op, place)
+        let is_mute = server.probed_at.is_some_and(|at| now - at >= self.probe_wait());
+        let blind = self.knows_loads()
+            && (op.probes >= MOST_PROBES
+                || self.probes_each() >= 1.0 && self.probes_left < 1.0 && self.is_crowded(now))
+            && !self.is_known(now, server)
+            && server.probed_at.is_none();
+        let is_full = self.knows_loads() && now < server.full_until;
+        !is_full && !blind && !is_mute && !self.is_silent(now, server) && self.may_get(now, op, place)
     }
 
     /// A server that failed is tried with the ops that lose least if it fails again.
@@ -601,7 +733,13 @@
         let share = self.cold_share(now, server);
         let in_flight = f64::from(server.in_flight);
         if share >= 1.0 {
-            return in_flight < self.part(server).max(1.0);
+            return self.knows_loads() || in_flight < self.part(server).max(1.0);
+        }
+        // By what it holds: what it is sent in a window is what it finishes in it, and this one at most.
+        if self.is_known(now, server) {
+            let cold = &self.terms.cold;
+            let pace = self.paces(server.group).map_or(1.0, |paces| paces.unhindered);
+            return work * pace <= (cold.fall_multiple - 1.0) * share * COLD_MARGIN * cold.fall_window.secs();
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
@@ -692,6 +830,9 @@
 
     fn place(&mut self, now: At, op: OpId) -> bool {
         let Some(place) = self.choose(now, op) else {
+            if self.knows_loads() {
+                self.put_off(now, op);
+            }
             return false;
         };
         let patience = self.patience(self.servers[place].group, self.ops[&op].work);
@@ -726,7 +867,8 @@
     }
 
     fn is_crowded(&self, now: At) -> bool {
-        !self.queue.is_empty() || self.crowded_at.is_some_and(|at| now - at < self.most())
+        !self.queue.is_empty() && !self.knows_loads()
+            || self.crowded_at.is_some_and(|at| now - at < self.most())
     }
 
     pub fn alarm_rang(&mut self, now: At, alarm: AlarmId) {
@@ -795,7 +937,10 @@
         match end.ending {
             Ending::Acked => self.note_answer(now, place, end),
             Ending::Error => self.note_failure(now, place, "an error"),
-            Ending::Full => self.cut_limit(now, place, end.took),
+            Ending::Full => {
+                self.servers[place].full_until = now + self.most();
+                self.cut_limit(now, place, end.took);
+            }
             Ending::Reset => self.note_failure(now, place, "its connection broke"),
             Ending::ConnectFailed => self.set_aside(now, place, Span::ZERO, "its connection failed"),
             Ending::TimedOut | Ending::Cancelled => {
@@ -893,13 +1038,17 @@
     // Waiting and final answers.
 
     fn enqueue(&mut self, now: At, op: OpId) {
-        self.crowded_at = Some(now);
+        if !self.knows_loads() {
+            self.crowded_at = Some(now);
+        }
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
         let state = self.ops.get_mut(&op).expect("an op that waits is held");
-        state.due = state.target - Span::from_secs(pace * state.work);
+        let late_benefit = self.terms.category(state.arrival.category).late_benefit;
+        let until = if late_benefit > 0.0 { state.ends } else { state.target };
+        state.due = until - Span::from_secs(pace * state.work);
         let (due, benefit, target) = (state.due, state.benefit, state.target);
         // Nothing out and no rest over by then: no room will come free, and a quick nack beats a wait for it.
-        if due <= now || self.out == 0 && self.rested_by(now, due) == 0 {
+        if due <= now || !self.knows_loads() && self.out == 0 && self.rested_by(now, due) == 0 {
             return self.give_up(now, op);
         }
         self.wait(now, op);
@@ -911,7 +1060,7 @@
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
         let turn = SHORT_QUEUE * self.median().secs() / f64::from(self.out.max(1));
-        while let Some(&last) = self.queue.last() {
+        while let Some(&last) = self.queue.last().filter(|_| !self.knows_loads()) {
             let due = self.ops[&last].due;
             let turns = self.queue.len().saturating_sub(self.rested_by(now, due));
             if now + Span::from_secs(turn * turns as f64) <= due {
@@ -935,18 +1084,21 @@
     fn wait(&mut self, now: At, op: OpId) {
         let due = self.ops[&op].due;
         let next = self.rests(now).min().map_or(due, |until| until.min(due));
+        let again_at = self.ops[&op].again_at.max(now + self.probe_wait());
+        let next = if self.knows_loads() { due.min(again_at) } else { next };
         self.host.alarm(next, AlarmId(u64::from(op.0)));
     }
 
     /// The first that waits may be too heavy for what is free, a cold server say: it must not hold up others.
     fn serve_queue(&mut self, now: At) {
-        let mut passed = 0;
-        while let Some(&next) = self.queue.get(passed).filter(|_| passed < MOST_PASSED) {
-            if self.place(now, next) {
-                self.queue.remove(passed);
-            } else {
-                passed += 1;
+        let (mut at, mut passed) = (0, 0);
+        while let Some(&next) = self.queue.get(at).filter(|_| passed < MOST_PASSED) {
+            let is_due = self.ops[&next].again_at <= now;
+            if is_due && self.place(now, next) {
+                self.queue.remove(at);
+                continue;
             }
+            (at, passed) = (at + 1, passed + usize::from(is_due));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,10 @@
     /// When it last started; its warming is counted from here. None: long ago.
     pub up_since: Option<At>,
     pub in_flight: u32,
+    /// The load that its last probe told of, and since when the next one is out.
+    pub seen: Option<(At, f64)>,
+    pub probed_at: Option<At>,
+    pub full_until: At,
     /// For all balancers together; each keeps to its part.
     pub limit: f64,
     /// Something was pushed to it since its connections were closed.
@@ -175,12 +179,32 @@
     pub queued: bool,
     pub streaming: bool,
     pub due: At,
+    /// Probes made for it since it last waited, and how often it did.
+    pub probes: u8,
+    pub rounds: u32,
+    /// The server whose probe it waits for. It is not placed again before that ends, or this time.
+    pub asking: Option<usize>,
+    pub again_at: At,
 }
 
 impl Op {
     pub fn arrived(now: At, arrival: OpArrival, work: f64, target: At, ends: At, benefit: f64) -> Op {
         let pushes = Vec::with_capacity(1);
-        Op { arrival, work, target, ends, benefit, pushes, queued: false, streaming: false, due: now }
+        Op {
+            arrival,
+            work,
+            target,
+            ends,
+            benefit,
+            pushes,
+            queued: false,
+            streaming: false,
+            due: now,
+            probes: 0,
+            rounds: 0,
+            asking: None,
+            again_at: now,
+        }
     }
 }
 
@@ -199,6 +223,9 @@
             condition: row.condition,
             up_since: row.up_since,
             in_flight: 0,
+            seen: None,
+            probed_at: None,
+            full_until: now,
             limit,
             is_open: false,
             cut_at: now,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,6 +1,6 @@
 //! What a balancer is told once, at its start.
 
-use crate::ids::{CategoryId, Span};
+use crate::ids::{CategoryId, Span, ZoneId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupGroup {
@@ -23,6 +23,8 @@
     /// The target latency grows by this multiple of the op's own work.
     pub target_stretch: f64,
     pub ttl: Span,
+    /// The part of the benefit that an answer after the target still has.
+    pub late_benefit: f64,
     pub repeats: Repeats,
 }
 
@@ -50,6 +52,12 @@
     pub connect_within: Span,
     /// The longest stay-away that clients follow; none where they are given no such advice.
     pub longest_stay_away: Option<Span>,
+    /// Where servers say how many ops they hold, but only when probed: the place of that among a report's values.
+    pub load_in_probes: Option<usize>,
+    /// What one probe for each op costs, as a part of all benefit.
+    pub probe_price: f64,
+    /// The zone of this balancer, where it was told.
+    pub zone: Option<ZoneId>,
     pub list_must_be_asked: bool,
     pub ask_within: Span,
     pub cold: ColdStart,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,9 @@
     fn close_idle(&mut self, upstream: UpstreamId) {
         self.line(format_args!("  close idle connections to {}", upstream.0));
     }
+    fn probe(&mut self, upstream: UpstreamId) {
+        self.line(format_args!("  probe {}", upstream.0));
+    }
     fn watch_list(&mut self) {
         self.line(format_args!("  watch the list"));
     }
@@ -62,6 +65,7 @@
         target_latency: Span::from_secs(0.6),
         target_stretch: 0.0,
         ttl: Span::from_secs(2.0),
+        late_benefit: 0.0,
         repeats,
     };
     StartTerms {
@@ -79,6 +83,9 @@
         cancelling: true,
         connect_within: Span::ZERO,
         longest_stay_away: Some(Span::from_secs(2.0)),
+        load_in_probes: None,
+        probe_price: 0.0,
+        zone: None,
         list_must_be_asked: true,
         ask_within: Span::from_secs(10.0),
         cold: ColdStart {
