--- a/crates/sidecar/src/pools.rs
+++ b/crates/sidecar/src/pools.rs
@@ -69,6 +69,7 @@
         connect_within: span(plan.limits.connect),
         longest_stay_away: Some(STAY_AWAY),
         load_in_probes: None,
+        connections_free: false,
         probe_price: 0.0,
         zone: None,
         list_must_be_asked: false,
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -95,6 +95,11 @@
         (part <= 1.0).then_some(part).ok_or_else(|| format!("start fact {path} of 1 at most, not {part}"))
     }
 
+    /// Said to be free; what is not said may cost something.
+    fn is_free(&self, path: &str) -> Result<bool, String> {
+        if self.0.contains_key(path) { Ok(self.number(path)? == 0.0) } else { Ok(false) }
+    }
+
     fn zone(&self) -> Result<Option<ZoneId>, String> {
         if self.0.contains_key("az") { self.value("az").map(ZoneId).map(Some) } else { Ok(None) }
     }
@@ -125,6 +130,7 @@
                 None
             },
             load_in_probes: self.load_in_probes()?,
+            connections_free: self.is_free("prices.connection")? && self.is_free("prices.handshake")?,
             probe_price: self.part_or_none("prices.probe")?,
             zone: self.zone()?,
             list_must_be_asked,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
 const MOST_PROBES: u8 = 4;
 /// The part of the shortest target that a load stays known, and that an op waits for a probe.
 const PROBE_PART: f64 = 0.05;
+const OPENS: f64 = 0.02;
+const OPEN_KEPT: f64 = 0.85;
 const WARM: f64 = 1.0;
 /// What may be spent on probes, as a part of all benefit.
 const PROBE_BUDGET: f64 = 0.02;
@@ -88,6 +90,7 @@
     hints_seen: usize,
     tip_bound: f64,
     probes_left: f64,
+    open: f64,
     in_share: Vec<VecDeque<At>>,
     out: u32,
     answered_at: Option<At>,
@@ -145,6 +148,7 @@
             hints_seen: 0,
             tip_bound: 0.0,
             probes_left: 0.0,
+            open: 1.0,
             in_share,
             out: 0,
             answered_at: None,
@@ -202,7 +206,7 @@
     /// meet each server too seldom to learn of it, and hold more connections to it than it takes.
     fn subset(&self, group: usize) -> usize {
         let members = self.members.get(group).map_or(0, Vec::len);
-        if self.terms.load_in_probes.is_some() {
+        if self.draws_whole() {
             return members;
         }
         let part = LEAST_LIMIT / f64::from(self.terms.balancers.max(1));
@@ -286,16 +290,17 @@
             self.note_hint(hint);
         }
         let op = arrival.op;
-        let each = self.probes_each();
-        if each >= 1.0 {
-            self.probes_left = (self.probes_left + each).min(MOST_SAVED);
-        }
+        self.probes_left = (self.probes_left + self.probes_each()).min(MOST_SAVED);
         let ends = now + arrival.time_left;
         let target = (now + target).min(ends);
         self.ops.insert(op, Op::arrived(now, arrival, work, target, ends, benefit));
         if ends <= now {
             return self.give_up(now, op);
         }
+        if self.draws_whole() && !self.asks() && self.rng.unit() > self.open {
+            self.crowded_at = Some(now);
+            return self.give_up(now, op);
+        }
         // Those that wait go first; what they cannot use, this one may.
         self.serve_queue(now);
         if !self.place(now, op) {
@@ -395,7 +400,7 @@
         let home = self.fitting(now, op, self.home(op));
         let mut groups = vec![home, DEFAULT, all];
         groups.dedup();
-        let nears: &[bool] = if self.knows_loads() { &[true, false] } else { &[false] };
+        let nears: &[bool] = if self.draws_whole() { &[true, false] } else { &[false] };
         let mut tries = nears.iter().flat_map(|&near| groups.iter().map(move |&group| (group, near)));
         let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
         if let Some(drawn) = drawn
@@ -418,7 +423,7 @@
             let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
             least.map(|&(_, place)| place)
         });
-        if found.is_none() && op.pushes.is_empty() && !self.knows_loads() {
+        if found.is_none() && op.pushes.is_empty() && !self.draws_whole() {
             self.full_at = Some((now, op.work));
         }
         found
@@ -439,7 +444,7 @@
         let mut best: [Option<(u64, usize)>; 2] = [None; 2];
         let groups = if group < self.members.len() { group..group + 1 } else { 0..group };
         let groups = groups
-            .filter(|&group| self.knows_loads() || self.has_room(group) && now >= self.rests_until(group));
+            .filter(|&group| self.draws_whole() || self.has_room(group) && now >= self.rests_until(group));
         for (id, place) in groups.flat_map(|group| self.own(group)) {
             let drawn = Some((mix(basis ^ id), place));
             let is_far = near && Some(self.servers[place].zone) != self.terms.zone;
@@ -464,16 +469,21 @@
 
     // Loads that servers tell.
 
-    fn knows_loads(&self) -> bool {
-        self.terms.load_in_probes.is_some()
+    /// Where connections cost nothing or loads can be asked for, a key meets the same servers through every balancer.
+    fn draws_whole(&self) -> bool {
+        self.terms.connections_free || self.asks()
     }
 
     pub fn load_in(&self, report: &[f64]) -> Option<f64> {
         self.terms.load_in_probes.and_then(|place| report.get(place)).copied()
     }
 
+    fn asks(&self) -> bool {
+        self.probes_each() >= 1.0
+    }
+
     fn probes_each(&self) -> f64 {
-        if !self.knows_loads() {
+        if self.terms.load_in_probes.is_none() {
             return 0.0;
         }
         PROBE_BUDGET / self.terms.probe_price.max(PROBE_BUDGET / f64::from(MOST_PROBES))
@@ -499,7 +509,7 @@
     fn ask(&mut self, now: At, id: OpId, place: usize) -> bool {
         let mut is_asking = false;
         let (is_known, op) = (self.is_known(now, &self.servers[place]), &self.ops[&id]);
-        if self.knows_loads() && !is_known && op.pushes.is_empty() {
+        if self.asks() && !is_known && op.pushes.is_empty() {
             if self.servers[place].probed_at.is_none() && op.probes < MOST_PROBES && self.probes_left >= 1.0 {
                 self.probes_left -= 1.0;
                 self.servers[place].probed_at = Some(now);
@@ -555,7 +565,7 @@
     fn may_get(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_new = !op.pushes.iter().any(|push| push.server == place);
-        let has_room = !self.knows_loads()
+        let has_room = !self.draws_whole()
             || self.load(now, server) < LEAST_LIMIT * self.open_part(op) * self.cold_share(now, server);
         is_new && has_room && self.may_repeat_on(now, op, server) && self.bears(now, server, op.work)
     }
@@ -577,12 +587,12 @@
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_mute = server.probed_at.is_some_and(|at| now - at >= self.probe_wait());
-        let blind = self.knows_loads()
+        let blind = self.asks()
             && (op.probes >= MOST_PROBES
                 || self.probes_each() >= 1.0 && self.probes_left < 1.0 && self.is_crowded(now))
             && !self.is_known(now, server)
             && server.probed_at.is_none();
-        let is_full = self.knows_loads() && now < server.full_until;
+        let is_full = self.draws_whole() && now < server.full_until;
         !is_full && !blind && !is_mute && !self.is_silent(now, server) && self.may_get(now, op, place)
     }
 
@@ -733,7 +743,7 @@
         let share = self.cold_share(now, server);
         let in_flight = f64::from(server.in_flight);
         if share >= 1.0 {
-            return self.knows_loads() || in_flight < self.part(server).max(1.0);
+            return self.asks() || in_flight < self.part(server).max(1.0);
         }
         // By what it holds: what it is sent in a window is what it finishes in it, and this one at most.
         if self.is_known(now, server) {
@@ -830,7 +840,7 @@
 
     fn place(&mut self, now: At, op: OpId) -> bool {
         let Some(place) = self.choose(now, op) else {
-            if self.knows_loads() {
+            if self.draws_whole() {
                 self.put_off(now, op);
             }
             return false;
@@ -867,7 +877,7 @@
     }
 
     fn is_crowded(&self, now: At) -> bool {
-        !self.queue.is_empty() && !self.knows_loads()
+        !self.queue.is_empty() && !self.draws_whole()
             || self.crowded_at.is_some_and(|at| now - at < self.most())
     }
 
@@ -901,6 +911,12 @@
         };
         self.out = self.out.saturating_sub(1);
         self.full_at = None;
+        let in_time = self.ops.get(&end.op).map(|op| now <= op.target);
+        match end.ending {
+            Ending::Acked if in_time == Some(true) => self.open = (self.open + OPENS).min(1.0),
+            Ending::Acked | Ending::TimedOut | Ending::Full => self.open = (self.open * OPEN_KEPT).max(0.1),
+            _ => {}
+        }
         self.note_ending(now, place, &end);
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
@@ -946,6 +962,7 @@
             Ending::TimedOut | Ending::Cancelled => {
                 if end.ending == Ending::TimedOut {
                     self.sample(now, place, end);
+                    self.servers[place].full_until = now + end.took.times(2.0);
                     self.cut_limit(now, place, end.took);
                 }
                 let server = &self.servers[place];
@@ -982,6 +999,11 @@
     fn note_answer(&mut self, now: At, place: usize, end: &PushEnd) {
         self.measured.endings.put((now, place, false));
         let Some(work) = self.sample(now, place, end) else { return };
+        let slow =
+            ILL_MULTIPLE * self.paces(self.servers[place].group).map_or(0.0, |paces| paces.median) * work;
+        if end.took > Span::from_secs(slow).max(self.most()) {
+            self.servers[place].full_until = now + end.took.times(2.0);
+        }
         let server = &mut self.servers[place];
         server.good_in_a_row += 1;
         server.answered.put(now, self.terms.cold.warm_within, work);
@@ -1038,7 +1060,7 @@
     // Waiting and final answers.
 
     fn enqueue(&mut self, now: At, op: OpId) {
-        if !self.knows_loads() {
+        if !self.draws_whole() {
             self.crowded_at = Some(now);
         }
         let pace = self.paces(self.home(&self.ops[&op])).map_or(0.0, |paces| paces.median);
@@ -1048,7 +1070,7 @@
         state.due = until - Span::from_secs(pace * state.work);
         let (due, benefit, target) = (state.due, state.benefit, state.target);
         // Nothing out and no rest over by then: no room will come free, and a quick nack beats a wait for it.
-        if due <= now || !self.knows_loads() && self.out == 0 && self.rested_by(now, due) == 0 {
+        if due <= now || !self.draws_whole() && self.out == 0 && self.rested_by(now, due) == 0 {
             return self.give_up(now, op);
         }
         self.wait(now, op);
@@ -1060,7 +1082,7 @@
         let place = self.queue.partition_point(ahead);
         self.queue.insert(place, op);
         let turn = SHORT_QUEUE * self.median().secs() / f64::from(self.out.max(1));
-        while let Some(&last) = self.queue.last().filter(|_| !self.knows_loads()) {
+        while let Some(&last) = self.queue.last().filter(|_| !self.draws_whole()) {
             let due = self.ops[&last].due;
             let turns = self.queue.len().saturating_sub(self.rested_by(now, due));
             if now + Span::from_secs(turn * turns as f64) <= due {
@@ -1085,7 +1107,7 @@
         let due = self.ops[&op].due;
         let next = self.rests(now).min().map_or(due, |until| until.min(due));
         let again_at = self.ops[&op].again_at.max(now + self.probe_wait());
-        let next = if self.knows_loads() { due.min(again_at) } else { next };
+        let next = if self.draws_whole() { due.min(again_at) } else { next };
         self.host.alarm(next, AlarmId(u64::from(op.0)));
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -54,6 +54,8 @@
     pub longest_stay_away: Option<Span>,
     /// Where servers say how many ops they hold, but only when probed: the place of that among a report's values.
     pub load_in_probes: Option<usize>,
+    /// Neither connections that stand open nor new ones are charged for.
+    pub connections_free: bool,
     /// What one probe for each op costs, as a part of all benefit.
     pub probe_price: f64,
     /// The zone of this balancer, where it was told.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -84,6 +84,7 @@
         connect_within: Span::ZERO,
         longest_stay_away: Some(Span::from_secs(2.0)),
         load_in_probes: None,
+        connections_free: false,
         probe_price: 0.0,
         zone: None,
         list_must_be_asked: true,
