Ask cold servers for their load before our part of a budget turns them down

Found by the test a_cold_server_whose_load_is_known_gets_what_it_can_finish: an idle cold server was never probed. Line at fault: bears turned an unknown cold server down by our own part of a budget before ask could be reached, and hundreds of balancers have next to none. Now one that can be asked is drawn, asked, and decided on by what it told. An op that waited is told when to come back.

--- a/src/facts.rs
+++ b/src/facts.rs
@@ -101,7 +101,14 @@
     }
 
     fn zone(&self) -> Result<Option<ZoneId>, String> {
-        if self.0.contains_key("az") { self.value("az").map(ZoneId).map(Some) } else { Ok(None) }
+        if !self.0.contains_key("az") {
+            return Ok(None);
+        }
+        let (zone, zones): (u16, _) = (self.value("az")?, self.list("dcs")?.len());
+        let is_known = usize::from(zone) < zones;
+        is_known
+            .then_some(Some(ZoneId(zone)))
+            .ok_or_else(|| format!("start fact az under {zones}, not {zone}"))
     }
 
     pub fn terms(&self) -> Result<StartTerms, String> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -332,14 +332,10 @@
         let nears: &[bool] = if self.draws_whole() { &[true, false] } else { &[false] };
         let mut tries = nears.iter().flat_map(|&near| groups.iter().map(move |&group| (group, near)));
         let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
-        if drawn.is_some_and(|place| self.ask(now, id, place)) {
-            return None;
-        }
-        let op = &self.ops[&id];
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing. And
         // against nacks of ops that lose least by a failure while a server that fails some is idle.
         let doubted = |place: usize| self.servers[place].to_prove > 0;
-        drawn.or_else(|| {
+        let found = drawn.or_else(|| {
             let ready = self.members.iter().flatten();
             let all_doubted = ready.clone().all(|&(_, place)| doubted(place));
             let comes_back = |server: &Server| !server.refuses && !self.is_silent(now, server);
@@ -348,7 +344,8 @@
             let open = open.filter(|(_, place)| self.may_get(now, op, *place));
             let least = open.min_by_key(|(id, place)| (self.servers[*place].in_flight, mix(salt ^ id)));
             least.map(|&(_, place)| place)
-        })
+        });
+        found.filter(|&place| !self.ask(now, id, place))
     }
 
     /// Draws two servers of the group and takes the one with fewer pushes in flight. An op's key draws, so
@@ -419,18 +416,23 @@
         own.max(load + server.sent.within(now, now - at + Span(1)).0 as f64)
     }
 
+    fn can_ask(&self, op: &Op, server: &Server) -> bool {
+        let is_paid = op.probes < MOST_PROBES && self.seen.probes_left >= 1.0;
+        self.asks() && op.pushes.is_empty() && (server.probed_at.is_some() || is_paid)
+    }
+
     /// Probes a server whose load is not known. True where the op waits for that.
     fn ask(&mut self, now: At, id: OpId, place: usize) -> bool {
-        let is_open = self.asks() && !self.is_known(now, &self.servers[place]);
+        let (server, op) = (&self.servers[place], &self.ops[&id]);
+        let is_open = !self.is_known(now, server) && self.can_ask(op, server);
         let (server, op) = (&mut self.servers[place], self.ops.get_mut(&id).expect(HELD));
-        let is_open = is_open && op.pushes.is_empty();
-        if is_open && server.probed_at.is_none() && op.probes < MOST_PROBES && self.seen.probes_left >= 1.0 {
+        if is_open && server.probed_at.is_none() {
             (server.probed_at, op.probes) = (Some(now), op.probes + 1);
             self.seen.probes_left -= 1.0;
             self.host.probe(server.id);
         }
-        op.asking = (is_open && server.probed_at.is_some()).then_some(place);
-        op.asking.is_some()
+        op.asking = is_open.then_some(place);
+        is_open
     }
 
     pub fn probe_ended(&mut self, now: At, end: ProbeEnd) {
@@ -473,7 +475,7 @@
         let is_new = !op.pushes.iter().any(|push| push.server == place);
         let has_room = !self.draws_whole()
             || self.load(now, server) < LEAST_LIMIT * self.open_part(op) * self.cold_share(now, server);
-        is_new && has_room && self.may_repeat_on(now, op, server) && self.bears(now, server, op.work)
+        is_new && has_room && self.may_repeat_on(now, op, server) && self.bears(now, op, server)
     }
 
     fn open_part(&self, op: &Op) -> f64 {
@@ -492,9 +494,8 @@
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
         let is_mute = server.probed_at.is_some_and(|at| now - at >= self.probe_wait());
-        let is_spent = op.probes >= MOST_PROBES || self.seen.probes_left < 1.0 && self.is_crowded(now);
-        let is_unasked = server.probed_at.is_none() && !self.is_known(now, server);
-        let blind = self.asks() && is_spent && is_unasked;
+        let is_unknown = self.asks() && !self.is_known(now, server) && !self.can_ask(op, server);
+        let blind = is_unknown && (op.probes >= MOST_PROBES || self.is_crowded(now));
         let is_full = self.draws_whole() && now < server.full_until;
         !is_full && !blind && !is_mute && !self.is_silent(now, server) && self.may_get(now, op, place)
     }
@@ -602,17 +603,20 @@
         (cold.least_share + (1.0 - cold.least_share) * warmed).clamp(0.0, 1.0)
     }
 
-    fn bears(&self, now: At, server: &Server, work: f64) -> bool {
+    fn bears(&self, now: At, op: &Op, server: &Server) -> bool {
         let (cold, share) = (&self.terms.cold, self.cold_share(now, server));
         let (window, usual) = (cold.fall_window, self.usual_work());
         let in_flight = f64::from(server.in_flight);
         if share >= 1.0 {
             return self.asks() || in_flight < self.part(server).max(1.0);
         }
+        // Where it can be asked this is decided on once more when it has told.
         // By what it holds: what it is sent in a window is what it finishes in it, and this one at most.
-        if self.is_known(now, server) {
+        let is_known = self.is_known(now, server);
+        if is_known || self.can_ask(op, server) {
             let pace = self.paces(server.group).map_or(1.0, |paces| paces.unhindered);
-            return work * pace <= (cold.fall_multiple - 1.0) * share * COLD_MARGIN * window.secs();
+            return !is_known
+                || op.work * pace <= (cold.fall_multiple - 1.0) * share * COLD_MARGIN * window.secs();
         }
         // Guards against pushing a cold server over: it gets its part of what warm ones of its kind bear now,
         // and as every balancer keeps to that on its own pushes, all of them together do.
@@ -621,7 +625,7 @@
             // that turned an op away did not have to finish it, and turning away costs it as well.
             let rest = window.times(1.0 / cold.fall_multiple.max(1.0));
             let has_rested = !server.cut || now - server.cut_at >= rest;
-            return in_flight == 0.0 && has_rested && work <= usual * share / cold.least_share.max(1e-3);
+            return in_flight == 0.0 && has_rested && op.work <= usual * share / cold.least_share.max(1e-3);
         };
         let budget = cold.fall_multiple * share * COLD_MARGIN * borne * server.size;
         if budget < usual {
@@ -630,11 +634,11 @@
             let gap = window.times(usual / budget);
             let last =
                 server.sent.last().unwrap_or(At(i64::MIN)).max(server.told_at - gap.times(server.phase));
-            return work <= usual && in_flight == 0.0 && now - last >= gap;
+            return op.work <= usual && in_flight == 0.0 && now - last >= gap;
         }
         let (_, sent) = server.sent.within(now, window);
         // A small hint is often too small: a swarm of small ops pushes a server over as a few large ones do.
-        sent + work.max(usual) <= budget && in_flight < self.part(server).max(1.0)
+        sent + op.work.max(usual) <= budget && in_flight < self.part(server).max(1.0)
     }
 
     /// Guards against many balancers that jam a server between them with one push each: a limit under one is
@@ -973,7 +977,7 @@
         };
         if !harmless {
             self.host.dead_letter(op);
-        } else if self.is_crowded(now) {
+        } else if state.rounds > 0 || self.is_crowded(now) {
             let wait = self.most().times(0.5 + self.rng.unit());
             self.host.nack(op, self.terms.longest_stay_away.map(|most| wait.min(most)));
         } else {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use doorproxy::host::{Condition, Ending, Host, Listing, OpArrival, PushEnd};
+use doorproxy::host::{Condition, Ending, Host, Listing, OpArrival, ProbeEnd, PushEnd};
 use doorproxy::ids::*;
 use doorproxy::policy::Balancer;
 use doorproxy::terms::{Category, ColdStart, DedupGroup, Repeats, StartTerms};
@@ -196,6 +196,13 @@
         last.rsplit(' ').next().and_then(|id| id.parse().ok()).expect("a push that names its server")
     }
 
+    /// A server's probe tells this load; none where it does not come back in time.
+    pub fn told(&mut self, upstream: u32, load: Option<f64>) -> &mut Self {
+        self.trace.line(format_args!("{upstream} holds {load:?}"));
+        self.balancer.probe_ended(self.now, ProbeEnd { upstream: UpstreamId(upstream), load });
+        self
+    }
+
     pub fn ring(&mut self, op: u32) -> &mut Self {
         self.trace.line(format_args!("the alarm of op {op} rings"));
         self.balancer.alarm_rang(self.now, AlarmId(u64::from(op)));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -7,8 +7,8 @@
 use common::{ORDER, READ, TOP_UP, Trace, World, server, terms};
 use doorproxy::facade::{Facade, NewOp, News, Next, Outlets, Push};
 use doorproxy::host::{Condition, Ending, Host, Listing};
-use doorproxy::ids::{AlarmId, At, CategoryId, Key, OpId, Span, TenantId, UpstreamId};
-use doorproxy::terms::StartTerms;
+use doorproxy::ids::{AlarmId, At, CategoryId, Key, OpId, Span, TenantId, UpstreamId, ZoneId};
+use doorproxy::terms::{Category, StartTerms};
 use expect_test::{Expect, expect};
 
 /// The trace with what the balancer does behind what happens.
@@ -764,6 +764,187 @@
         .assert_eq(&told);
 }
 
+// A balancer in each client process, before servers that tell their load to probes.
+
+/// One of many quiet balancers in zone 0; servers with even ids are there too.
+fn quiet() -> StartTerms {
+    let categories = terms().categories;
+    let categories = categories.into_iter().map(|of| Category { late_benefit: 0.5, ..of }).collect();
+    let zone = Some(ZoneId(0));
+    StartTerms { categories, balancers: 90, load_in_probes: Some(0), probe_price: 0.005, zone, ..terms() }
+}
+
+/// The loads are too dear to ask for, and connections are free.
+fn unasked() -> StartTerms {
+    StartTerms { probe_price: 0.03, connections_free: true, ..quiet() }
+}
+
+#[test]
+fn the_less_loaded_of_two_drawn_is_told_from_what_they_say() {
+    let mut world = World::new(quiet(), &one_kind(&[2, 4, 6]));
+    world.op(1, ORDER, 1, 0.1).after_ms(1).told(2, Some(0.0));
+    world.note("-- the key's server holds more than a warm key is worth");
+    world.after_ms(100).op(2, ORDER, 1, 0.1).told(2, Some(4.0)).told(4, Some(1.0));
+    world.note("-- and its other one not fewer");
+    world.after_ms(100).op(3, ORDER, 1, 0.1).told(2, Some(2.0)).told(4, Some(2.0));
+    world.note("-- known for a moment, with what was pushed there since");
+    world.op(4, ORDER, 1, 0.1);
+    check(
+        &world,
+        expect![[r#"
+        watch the list
+        op 1 of category 2 comes | probe 2
+        2 holds Some(0.0) | push op 1 to 2
+        -- the key's server holds more than a warm key is worth
+        op 2 of category 2 comes | probe 2
+        2 holds Some(4.0) | probe 4
+        4 holds Some(1.0) | push op 2 to 4
+        -- and its other one not fewer
+        op 3 of category 2 comes | probe 2
+        2 holds Some(2.0) | probe 4
+        4 holds Some(2.0) | push op 3 to 2
+        -- known for a moment, with what was pushed there since
+        op 4 of category 2 comes | push op 4 to 2
+    "#]],
+    );
+}
+
+#[test]
+fn full_servers_are_passed_by_and_an_op_waits_for_room_only_as_long_as_it_pays() {
+    let mut world = World::new(quiet(), &one_kind(&[2, 4]));
+    world.op(1, ORDER, 1, 0.1).told(2, Some(9.0)).told(4, Some(7.0));
+    world.note("-- asked again after a while");
+    world.after_ms(40).ring(1).told(2, Some(9.0)).told(4, Some(9.0));
+    world.note("-- until it could not be answered any more");
+    world.after_ms(1460).ring(1);
+    check(
+        &world,
+        expect![[r#"
+        watch the list
+        op 1 of category 2 comes | probe 2
+        2 holds Some(9.0) | probe 4
+        4 holds Some(7.0)
+        -- asked again after a while
+        the alarm of op 1 rings | probe 2
+        2 holds Some(9.0) | probe 4
+        4 holds Some(9.0)
+        -- until it could not be answered any more
+        the alarm of op 1 rings | nack op 1
+    "#]],
+    );
+}
+
+#[test]
+fn ops_of_little_benefit_leave_room_for_the_others() {
+    let mut world = World::new(quiet(), &one_kind(&[2]));
+    world.op(1, READ, 1, 0.1).told(2, Some(3.0)).op(2, ORDER, 1, 0.1);
+    check(
+        &world,
+        expect![[r#"
+        watch the list
+        op 1 of category 0 comes | probe 2
+        2 holds Some(3.0)
+        op 2 of category 2 comes | push op 2 to 2
+    "#]],
+    );
+}
+
+#[test]
+fn a_server_that_does_not_answer_its_probe_holds_nobody_up() {
+    let mut world = World::new(quiet(), &one_kind(&[2, 4]));
+    world.op(1, ORDER, 1, 0.1).after_ms(30).ring(1).told(4, Some(0.0)).after_ms(100).told(2, None);
+    check(
+        &world,
+        expect![[r#"
+        watch the list
+        op 1 of category 2 comes | probe 2
+        the alarm of op 1 rings | probe 4
+        4 holds Some(0.0) | push op 1 to 4
+        2 holds None
+    "#]],
+    );
+}
+
+#[test]
+fn the_own_zone_comes_first_as_long_as_it_has_room() {
+    let mut world = World::new(unasked(), &four_kinds());
+    for op in 0..24 {
+        world.op(op, READ, u64::from(op), 0.1);
+    }
+    let pushes = told(&world);
+    let zones = pushes.lines().filter_map(|line| line.rsplit(' ').next()?.parse::<u32>().ok());
+    let zones: String = zones.map(|upstream| if upstream % 2 == 0 { 'o' } else { 'x' }).collect();
+    expect!["ooooooxxx"].assert_eq(&zones);
+}
+
+#[test]
+fn the_same_key_meets_the_same_server_through_every_balancer() {
+    let first = |ordinal| {
+        let mut world = World::new(StartTerms { ordinal, ..unasked() }, &one_kind(&[2, 4, 6, 8, 10]));
+        let mut pushed = Vec::new();
+        for op in 0..8 {
+            pushed.push(world.op(op, READ, u64::from(op), 0.1).last_pushed());
+            world.answered(op, 100);
+        }
+        pushed
+    };
+    expect![[r#"
+        [2, 2, 2, 4, 6, 2, 6, 4]
+        [2, 2, 2, 4, 6, 2, 6, 4]
+    "#]]
+    .assert_eq(&format!("{:?}\n{:?}\n", first(0), first(41)));
+}
+
+#[test]
+fn late_answers_close_the_door_and_timely_ones_open_it() {
+    let mut world = World::new(unasked(), &one_kind(&[2, 4, 6, 8]));
+    let mut counts = Vec::new();
+    for took in [700, 700, 100, 100, 100, 100] {
+        let mut taken = 0;
+        for op in 0..40 {
+            let op = 1000 * counts.len() as u32 + op;
+            let before = told(&world).matches("push op").count();
+            world.after_ms(3000).op(op, ORDER, 1, 0.1);
+            if told(&world).matches("push op").count() > before {
+                taken += 1;
+                let upstream = world.last_pushed();
+                world.after_ms(took).end_after(op, 0, upstream, Ending::Acked, took);
+            }
+        }
+        counts.push(taken);
+    }
+    expect!["[12, 6, 2, 5, 14, 26]"].assert_eq(&format!("{counts:?}"));
+}
+
+#[test]
+fn a_cold_server_whose_load_is_known_gets_what_it_can_finish() {
+    let mut world = World::new(quiet(), &one_kind(&[2, 4]));
+    for op in 100..120 {
+        world.op(op, READ, u64::from(op), 0.1).told(2, Some(0.0)).told(4, Some(0.0)).answered(op, 100);
+    }
+    let up_since = Some(world.now);
+    let cold = [2, 4].map(|upstream| Listing { up_since, ..server(upstream, 0) });
+    world.balancer.list_changed(world.now, &cold);
+    world.note("-- it holds one already");
+    world.op(1, ORDER, 1, 0.1).told(2, Some(1.0)).told(4, Some(0.0));
+    world.note("-- too heavy for what it bears in the window");
+    world.after_ms(100).op(2, ORDER, 1, 2.0).told(2, Some(0.0)).told(4, Some(0.0));
+    check_after(
+        &world,
+        "-- it holds",
+        expect![[r#"
+             one already
+            op 1 of category 2 comes | probe 2
+            2 holds Some(1.0) | probe 4
+            4 holds Some(0.0) | push op 1 to 4
+            -- too heavy for what it bears in the window
+            op 2 of category 2 comes | probe 2 | nack op 2
+            2 holds Some(0.0)
+            4 holds Some(0.0)
+        "#]],
+    );
+}
+
 // The facade: the same decisions, as network code meets them.
 
 struct Told(Trace);
