Probe loads on sockets, check the new settings, and migrate configurations

The balancer reads report.source, report.fields, limits.probes, prices.probe, prices.connection, prices.handshake, az and overdue_benefit, all optional; without them it does what it did. Bad ones are named by path (six more lines in a_bad_configuration_is_said_in_one_line). A wrong call now ends with 2 for every command, as the tool's calls did.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod heads;
 pub mod list;
 pub mod log;
+pub mod probes;
 pub mod ring;
 pub mod sockets;
 pub mod upstreams;
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -31,6 +31,8 @@
 
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("req-deadline-ms");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+/// Where an upstream tells its load; a probe of it waits no longer than for a connection.
+const REPORT: &str = "/-/load";
 /// With fewer sockets left than these, idle connections are closed for those that are needed.
 const SPARE_SOCKETS: usize = 8;
 /// The rest of an answer that is not passed on is read only to keep its connection.
@@ -157,6 +159,20 @@
         ending
     }
 
+    /// What an upstream reports of its load, where it does so in time.
+    pub async fn report(&self, upstream: UpstreamId) -> Option<Bytes> {
+        let (address, client) =
+            self.lock().get(&upstream).map(|found| (found.address, found.client.clone()))?;
+        let uri = Uri::builder().scheme("http").authority(address.to_string()).path_and_query(REPORT);
+        let request = Request::get(uri.build().ok()?).body(Full::default()).ok()?;
+        let call = async {
+            let answer = client.request(request).await.ok()?;
+            let is_report = answer.status() == StatusCode::OK;
+            held_whole(answer.into_body()).await.ok().filter(|_| is_report)
+        };
+        self.world.timeout(self.connect_timeout, call).await.flatten()
+    }
+
     /// Guards against pushes on connections to a machine that has vanished: they stay open and silent, and break
     /// with what may have run when it is back. A new connection is refused, or never comes up, and proves more.
     /// Where an upstream answers others meanwhile it is there, and each new connection would cost it work.
--- a/crates/balancer/src/whole.rs
+++ b/crates/balancer/src/whole.rs
@@ -12,9 +12,9 @@
 use crate::front::{self, Front};
 use crate::given::Given;
 use crate::list::{self, List};
-use crate::ring;
 use crate::upstreams::{Outlet, Times, Upstreams};
 use crate::world::World;
+use crate::{probes, ring};
 
 /// The decisions of one balancer, and the connections on which they are carried out.
 pub fn parts<W: World>(world: &W, given: &Given) -> (Facade, Arc<Upstreams<W>>) {
@@ -42,6 +42,8 @@
     upstreams.follow(&rows, &addresses, true);
     facade.tick(world.now(), News::Whole(&rows));
     world.spawn(ring::ring(world.clone(), facade.clone()));
+    let place = given.terms.load_in_probes;
+    world.spawn(probes::follow(world.clone(), facade.clone(), upstreams.clone(), place));
     world.spawn(list::follow(world.clone(), list, facade.clone(), upstreams.clone(), source));
     // The platform kills the process so long after SIGTERM as an op may take, where that is less.
     let grace = grace.min(given.terms.longest_ttl());
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the balancer: it reads the configuration, at the start and on SIGHUP, and waits for signals.
 //! It must never know what the parts do.
 
+mod migrate;
 mod tool;
 
 use std::future::Future;
@@ -32,6 +33,7 @@
     Sidecar(Sidecar),
     Explain(tool::Explain),
     Configure(tool::Configure),
+    Migrate(migrate::Migrate),
     Version(Version),
 }
 
@@ -86,7 +88,19 @@
 struct Version {}
 
 fn main() -> ExitCode {
-    let Arguments { command } = argh::from_env();
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let Arguments { command } = match Arguments::from_args(&words[..1], &words[1..]) {
+        Ok(arguments) => arguments,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => {
+            eprintln!("{}\n`doorproxy --help` tells more.", early.output.trim_end());
+            return ExitCode::from(2);
+        }
+    };
     let is_sidecars = |file: &Path| file.extension().is_some_and(|extension| extension == "toml");
     let done = match command {
         Command::Check(Check { file: Some(file), roster, against, json, .. }) if is_sidecars(&file) => {
@@ -98,6 +112,7 @@
         },
         Command::Explain(call) => return tool::exit(tool::explain(&call)),
         Command::Configure(call) => return tool::exit(tool::configure(&call)),
+        Command::Migrate(call) => return tool::exit(migrate::migrate(&call)),
         Command::Serve(Serve { config, grace_ms }) => {
             given::path(config).and_then(|config| serve(config, Span(grace_ms as i64 * 10)))
         }
--- a/crates/program/src/tool.rs
+++ b/crates/program/src/tool.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn read(path: &Path) -> Result<String, String> {
+pub fn read(path: &Path) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
 }
 
--- a/crates/program/tests/sockets.rs
+++ b/crates/program/tests/sockets.rs
@@ -124,6 +124,7 @@
                     }
                     return;
                 }
+                "-/load" => "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n[3, 1]",
                 "mute" => return drop(reader.read(&mut [0])),
                 "slow" => {
                     trace.wait_for("go on");
@@ -213,7 +214,11 @@
 }
 
 fn start_with(known: &[Value], discovery: SocketAddr, sockets: u32) -> Balancer {
-    let (mut process, config) = run(&config(known, discovery, sockets).to_string());
+    start_from(&config(known, discovery, sockets).to_string())
+}
+
+fn start_from(config: &str) -> Balancer {
+    let (mut process, config) = run(config);
     let mut lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
     let log = Trace::default();
     let of_log = log.clone();
@@ -223,9 +228,14 @@
     Balancer { process, address, config, log }
 }
 
+/// Takes calls and answers none.
+fn mute_service() -> SocketAddr {
+    listen(|mut stream| drop(stream.read(&mut [0; 4096])))
+}
+
 /// Before upstreams that never change.
 fn start(known: &[Value]) -> Balancer {
-    start_with(known, listen(|mut stream| drop(stream.read(&mut [0; 4096]))), 256)
+    start_with(known, mute_service(), 256)
 }
 
 struct Client(BufReader<TcpStream>);
@@ -663,7 +673,8 @@
     let sound = config(&[], NOBODY.parse().unwrap(), 256);
     let with = |path: &str, value: Value| {
         let mut config = sound.clone();
-        *config.pointer_mut(path).unwrap() = value;
+        let (parent, name) = path.rsplit_once('/').unwrap();
+        config.pointer_mut(parent).unwrap()[name] = value;
         config.to_string()
     };
     let bad = [
@@ -674,6 +685,12 @@
         with("/settings/categories/0/semantics", json!("sometimes")),
         with("/settings/obligations/cold", Value::Null),
         with("/known/servers", json!([{"id": "a"}])),
+        with("/settings/report", json!({"source": "guesses"})),
+        with("/settings/report", json!({"source": "probe", "fields": "active"})),
+        with("/settings/az", json!(1)),
+        with("/settings/prices", json!({"probe": -0.5})),
+        with("/settings/prices", json!({"connection": "free"})),
+        with("/settings/categories/0/overdue_benefit", json!(1.5)),
     ];
     for config in bad {
         let ended = run(&config).0.wait_with_output().unwrap();
@@ -689,6 +706,12 @@
         Some(1) settings: expected a known categories.0.semantics, not "sometimes"
         Some(1) settings: expected start fact obligations.cold that can be read, not "null"
         Some(1) missing field `addr` at line 1 column 69
+        Some(1) settings: expected a known report.source, not "guesses"
+        Some(1) settings: expected start fact limits.probes
+        Some(1) settings: expected start fact az under 1, not 1
+        Some(1) settings: expected start fact prices.probe of 0 or more, not -0.5
+        Some(1) settings: expected start fact prices.connection that can be read, not "free"
+        Some(1) settings: expected start fact categories.0.overdue_benefit of 1 at most, not 1.5
     "#]]
     .assert_eq(&said);
 }
@@ -732,3 +755,210 @@
         client: HTTP/1.1 200 OK "well"
     "#]]);
 }
+
+// The move to a balancer in each client process.
+
+/// A folder of its own for each call, with the old file in it; what the command said, and what is there after it.
+fn migrate(old: &str, words: &str) -> (String, PathBuf) {
+    let name = format!("migrate-{}-{:?}", std::process::id(), thread::current().id());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir(&folder).unwrap();
+    std::fs::write(folder.join("old.json"), old).unwrap();
+    if words.contains("taken.json") {
+        std::fs::write(folder.join("taken.json"), "as it was").unwrap();
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorproxy"));
+    let command = command.args(["migrate", "old.json"]).args(words.split(' ')).current_dir(&folder);
+    let done = command.output().unwrap();
+    let mut there: Vec<String> = std::fs::read_dir(&folder)
+        .unwrap()
+        .map(|file| file.unwrap().file_name().into_string().unwrap())
+        .collect();
+    there.sort();
+    let said = String::from_utf8(done.stdout).unwrap() + &String::from_utf8(done.stderr).unwrap();
+    assert_eq!(std::fs::read_to_string(folder.join("old.json")).unwrap(), old, "the old file is as it was");
+    (format!("{said}exit {:?}, there: {}\n", done.status.code(), there.join(" ")), folder)
+}
+
+const WHOLE_CALL: &str = "--balancers 90 --ordinal 3 --out new.json --listen 127.0.0.1:0 --seed 3a --zone east \
+                          --report waiting,active";
+
+fn without_tenants(mut config: Value) -> Value {
+    let settings = config["settings"].as_object_mut().unwrap();
+    settings.remove("projects");
+    settings.remove("overage_benefit");
+    config
+}
+
+#[test]
+fn a_migrated_file_starts_a_balancer_that_asks_for_the_load_and_serves() {
+    let trace = Trace::default();
+    let old = without_tenants(config(&[line("a", upstream("A", &trace), "active")], mute_service(), 256));
+    let (said, folder) = migrate(&old.to_string(), WHOLE_CALL);
+    assert!(said.ends_with("exit Some(0), there: new.json old.json\n"), "{said}");
+    let balancer = start_from(&std::fs::read_to_string(folder.join("new.json")).unwrap());
+    Client::new(&balancer).get("/", "1").answer(&trace);
+    trace.check(expect![[r#"
+        A: GET /-/load HTTP/1.1 id none body ""
+        A: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+#[test]
+fn migration_says_what_became_of_each_field_and_keeps_to_what_it_was_told() {
+    let mut old = without_tenants(config(&[], NOBODY.parse().unwrap(), 256));
+    old["limits"]["cores"] = json!(1.0);
+    let (said, folder) = migrate(&old.to_string(), &format!("{WHOLE_CALL} --no-second-copies"));
+    let new = std::fs::read_to_string(folder.join("new.json")).unwrap();
+    expect![[r#"
+        changed: settings.n_instances to 90: all balancers count, also those of the old shape for as long as they serve
+        changed: settings.ordinal to 3: its place among all of them
+        changed: settings.report.source to "probe": upstreams tell their load to probes
+        changed: settings.limits.probes to true: loads are asked for by probes
+        changed: settings.limits.second_copies to false: no second copies, as the call says
+        changed: listen to "127.0.0.1:0": each process listens for itself
+        changed: seed to "3a": each process has a chance of its own
+        changed: settings.az to 0: the zone of its process
+        changed: settings.report.fields to ["waiting","active"]: what upstreams tell
+        carried over: discovery
+        carried over: known.full
+        carried over: known.version
+        carried over: limits.sockets
+        carried over: name
+        carried over: settings.categories.*.benefit
+        carried over: settings.categories.*.dedup_scope
+        carried over: settings.categories.*.name
+        carried over: settings.categories.*.semantics
+        carried over: settings.categories.*.target_latency
+        carried over: settings.categories.*.ttl
+        carried over: settings.categories.*.window
+        carried over: settings.dcs.*
+        carried over: settings.discovery
+        carried over: settings.kinds.*
+        carried over: settings.limits.cancelling
+        carried over: settings.limits.connect_timeout
+        carried over: settings.limits.keepalive
+        carried over: settings.limits.max_pushes
+        carried over: settings.limits.max_retry_after
+        carried over: settings.limits.retry_after
+        carried over: settings.obligations.ask_within
+        carried over: settings.obligations.cold
+        carried over: settings.obligations.cold_from
+        carried over: settings.obligations.fall
+        carried over: settings.obligations.fall_multiple
+        unknown, left out: limits.cores
+        exit Some(0), there: new.json old.json
+        {
+          "discovery": "127.0.0.1:1",
+          "known": {
+            "full": true,
+            "servers": [],
+            "version": 1
+          },
+          "limits": {
+            "sockets": 256
+          },
+          "listen": "127.0.0.1:0",
+          "name": "n0",
+          "seed": "3a",
+          "settings": {
+            "az": 0,
+            "categories": [
+              {
+                "benefit": 1.0,
+                "dedup_scope": "all",
+                "name": "look",
+                "semantics": "pure",
+                "target_latency": 1.0,
+                "ttl": 60.0,
+                "window": 5.0
+              },
+              {
+                "benefit": 1.0,
+                "dedup_scope": "all",
+                "name": "buy",
+                "semantics": "side_effect",
+                "target_latency": 1.0,
+                "ttl": 60.0,
+                "window": 5.0
+              }
+            ],
+            "dcs": [
+              "east"
+            ],
+            "discovery": "on_request",
+            "kinds": [
+              "small"
+            ],
+            "limits": {
+              "cancelling": true,
+              "connect_timeout": 0.5,
+              "keepalive": 60.0,
+              "max_pushes": 4,
+              "max_retry_after": 2.0,
+              "probes": true,
+              "retry_after": true,
+              "second_copies": false
+            },
+            "n_instances": 90,
+            "obligations": {
+              "ask_within": 2.0,
+              "cold": 20.0,
+              "cold_from": 0.2,
+              "fall": 2.0,
+              "fall_multiple": 2.5
+            },
+            "ordinal": 3,
+            "report": {
+              "fields": [
+                "waiting",
+                "active"
+              ],
+              "source": "probe"
+            }
+          }
+        }
+    "#]].assert_eq(&format!("{said}{new}"));
+}
+
+#[test]
+fn migration_writes_nothing_where_it_may_not_or_is_not_told_enough() {
+    let sound = without_tenants(config(&[], NOBODY.parse().unwrap(), 256)).to_string();
+    let with_tenants = config(&[], NOBODY.parse().unwrap(), 256).to_string();
+    let calls = [
+        ("a dry run", &sound, format!("{WHOLE_CALL} --dry-run")),
+        ("a target that is there", &sound, WHOLE_CALL.replace("new.json", "taken.json")),
+        ("too little said", &sound, "--balancers 90 --ordinal 3 --out new.json".to_string()),
+        ("a zone that nobody has heard of", &sound, WHOLE_CALL.replace("east", "west")),
+        ("a report without the load", &sound, WHOLE_CALL.replace("waiting,active", "cpu")),
+        ("an ordinal beyond", &sound, WHOLE_CALL.replace("--ordinal 3", "--ordinal 90")),
+        ("no count", &sound, WHOLE_CALL.replace("--balancers 90 ", "")),
+        ("broken JSON", &"{".to_string(), WHOLE_CALL.to_string()),
+        ("tenants", &with_tenants, WHOLE_CALL.to_string()),
+    ];
+    let mut trace = String::new();
+    for (what, old, words) in calls {
+        let (said, folder) = migrate(old, &words);
+        let told =
+            said.lines().filter(|line| !line.starts_with("carried over") && !line.starts_with("changed"));
+        let told: Vec<&str> = told.collect();
+        writeln!(trace, "{what}: {}", told.join(" | ")).unwrap();
+        if let Ok(taken) = std::fs::read_to_string(folder.join("taken.json")) {
+            writeln!(trace, "{what}: it holds {taken:?}").unwrap();
+        }
+    }
+    expect![[r#"
+        a dry run: exit Some(0), there: old.json
+        a target that is there: doorproxy: taken.json exists, and is not replaced | exit Some(2), there: old.json taken.json
+        a target that is there: it holds "as it was"
+        too little said: missing: --listen | missing: --seed | missing: --zone, one of settings.dcs | missing: --report | exit Some(1), there: old.json
+        a zone that nobody has heard of: missing: --zone, one of settings.dcs | exit Some(1), there: old.json
+        a report without the load: bad: the report has no "active", so loads stay unknown | exit Some(1), there: old.json
+        an ordinal beyond: doorproxy: an ordinal under 90 expected, not 90 | exit Some(2), there: old.json
+        no count: Required options not provided: |     --balancers | `doorproxy --help` tells more. | exit Some(2), there: old.json
+        broken JSON: bad: old.json: EOF while parsing an object at line 1 column 1 | exit Some(1), there: old.json
+        tenants: not carried over: settings.overage_benefit: goes with the tenants' shares | not carried over: settings.projects: each balancer counts an even part of a tenant's share, and processes do not carry alike | exit Some(1), there: new.json old.json
+    "#]].assert_eq(&trace);
+}
