--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,7 +36,7 @@
 const COLD_MARGIN: f64 = 0.8;
 /// Probes for an op in one go: the two drawn, and two more should these have no room.
 const MOST_PROBES: u8 = 4;
-/// The part of the shortest target that a load stays known, and that an op waits for a probe.
+/// Of the shortest target.
 const PROBE_PART: f64 = 0.05;
 /// What a timely answer adds to the part of ops that is taken, what another leaves of it, and the least.
 const OPENS: f64 = 0.02;
@@ -72,6 +72,8 @@
     queue: Vec<OpId>,
     in_share: Vec<Work>,
     out: u32,
+    /// So long a load stays known, and an op waits for a probe.
+    probe_wait: Span,
     seen: Seen,
 }
 
@@ -104,6 +106,7 @@
         if terms.list_must_be_asked {
             host.watch_list();
         }
+        let probe_wait = terms.least_target().times(PROBE_PART);
         let in_share = terms.tenant_shares.iter().map(|_| Work::default()).collect();
         Balancer {
             host,
@@ -118,6 +121,7 @@
             queue: Vec::new(),
             in_share,
             out: 0,
+            probe_wait,
             seen: Seen::default(),
         }
     }
@@ -401,12 +405,8 @@
         self.terms.load_in_probes.map_or(0.0, |_| PROBE_BUDGET / self.terms.probe_price)
     }
 
-    fn probe_wait(&self) -> Span {
-        self.terms.least_target().times(PROBE_PART)
-    }
-
     fn is_known(&self, now: At, server: &Server) -> bool {
-        server.seen.is_some_and(|(at, _)| now - at <= self.probe_wait())
+        server.seen.is_some_and(|(at, _)| now - at <= self.probe_wait)
     }
 
     /// What a server holds: as it told last and what was pushed to it since, or what it holds of ours.
@@ -448,7 +448,7 @@
 
     /// No room was found: asked again after a while, and after twice as long each time.
     fn put_off(&mut self, now: At, id: OpId) {
-        let (usual, wait) = (self.usual_time(DEFAULT).times(0.25), self.probe_wait());
+        let (usual, wait) = (self.usual_time(DEFAULT).times(0.25), self.probe_wait);
         let op = self.ops.get_mut(&id).expect(HELD);
         if op.asking.is_some() {
             op.again_at = now + wait;
@@ -493,7 +493,7 @@
 
     fn may_take(&self, now: At, op: &Op, place: usize) -> bool {
         let server = &self.servers[place];
-        let is_mute = server.probed_at.is_some_and(|at| now - at >= self.probe_wait());
+        let is_mute = server.probed_at.is_some_and(|at| now - at >= self.probe_wait);
         let is_unknown = self.asks() && !self.is_known(now, server) && !self.can_ask(op, server);
         let blind = is_unknown && (op.probes >= MOST_PROBES || self.is_crowded(now));
         let is_full = self.draws_whole() && now < server.full_until;
@@ -950,7 +950,7 @@
     /// answer while one of many balancers has nothing out.
     fn wait(&mut self, now: At, op: OpId) {
         let state = &self.ops[&op];
-        let asks_again = self.draws_whole().then(|| state.again_at.max(now + self.probe_wait()));
+        let asks_again = self.draws_whole().then(|| state.again_at.max(now + self.probe_wait));
         let next = asks_again.or_else(|| self.rests(now).min()).unwrap_or(state.due);
         self.host.alarm(next.min(state.due), AlarmId(u64::from(op.0)));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,36 +114,52 @@
 }
 
 /// The servers that are listed, or were lately. A place is never given to another: what was measured at one names
-/// its server by it.
+/// its server by it. So a place is a slot, and above it how often the slot was given away before.
 #[derive(Default)]
 pub struct Roster {
-    servers: BTreeMap<usize, Server>,
-    next: usize,
+    slots: Vec<(usize, Option<Server>)>,
 }
 
+const SLOT_BITS: u32 = 24;
+const LET_GO: &str = "a place is let go of after all that names it";
+
 impl Roster {
+    fn slot(place: usize) -> usize {
+        place & ((1 << SLOT_BITS) - 1)
+    }
+
     pub fn add(&mut self, server: Server) -> usize {
-        self.next += 1;
-        self.servers.insert(self.next, server);
-        self.next
+        let free = self.slots.iter().position(|(_, server)| server.is_none());
+        let slot = free.unwrap_or(self.slots.len());
+        match self.slots.get_mut(slot) {
+            Some(slot) => *slot = (slot.0 + 1, Some(server)),
+            None => self.slots.push((0, Some(server))),
+        }
+        self.slots[slot].0 << SLOT_BITS | slot
     }
 
     pub fn has(&self, place: usize) -> bool {
-        self.servers.contains_key(&place)
+        let slot = self.slots.get(Self::slot(place));
+        slot.is_some_and(|(given, server)| *given == place >> SLOT_BITS && server.is_some())
     }
 
     pub fn ready(&self) -> impl Iterator<Item = (usize, &Server)> {
-        self.servers.iter().filter(|(_, server)| server.is_ready()).map(|(&place, server)| (place, server))
+        let places =
+            self.slots.iter().enumerate().map(|(slot, (given, server))| (given << SLOT_BITS | slot, server));
+        places
+            .filter_map(|(place, server)| Some((place, server.as_ref().filter(|server| server.is_ready())?)))
     }
 
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
-        self.servers.values_mut()
+        self.slots.iter_mut().filter_map(|(_, server)| server.as_mut())
     }
 
     /// Of those that are gone and have nothing in flight.
     pub fn let_go(&mut self, is_over: impl Fn(&Server) -> bool) {
         let is_past = |server: &Server| server.condition == Condition::Gone && server.in_flight == 0;
-        self.servers.retain(|_, server| !(is_past(server) && is_over(server)));
+        for (_, slot) in &mut self.slots {
+            slot.take_if(|server| is_past(server) && is_over(server));
+        }
     }
 }
 
@@ -151,13 +167,15 @@
     type Output = Server;
 
     fn index(&self, place: usize) -> &Server {
-        &self.servers[&place]
+        let (given, server) = &self.slots[Self::slot(place)];
+        server.as_ref().filter(|_| *given == place >> SLOT_BITS).expect(LET_GO)
     }
 }
 
 impl IndexMut<usize> for Roster {
     fn index_mut(&mut self, place: usize) -> &mut Server {
-        self.servers.get_mut(&place).expect("a place is let go of after all that names it")
+        let (given, server) = &mut self.slots[Self::slot(place)];
+        server.as_mut().filter(|_| *given == place >> SLOT_BITS).expect(LET_GO)
     }
 }
 
