--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,8 @@
 /// A server whose last answers took so many times what their work explains is crowded. Well under two: one
 /// that holds many ops does less work, and another group or the queue has a better use for the op.
 const CROWDED: f64 = 1.1;
+/// The part of its time that an op may need in its own group: paces are medians, and there may be a queue.
+const HEAVY: f64 = 0.4;
 /// Enough answers to even out which of them met a kept key, few enough to follow a burst.
 const SERVER_SAMPLES: usize = 8;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
@@ -312,12 +314,12 @@
         self.table.ends.iter().position(|&end| slot <= end).map_or(DEFAULT, |range| TIP + 1 + range)
     }
 
-    /// Guards against heavy ops lost by the table alone: one that cannot make its target in its own group, by
-    /// that group's median pace, goes to the group with the quickest pace if it can make it there.
+    /// Guards against heavy ops lost by the table alone: one that its own group's median pace leaves too little
+    /// time goes to the group with the quickest pace if it can make it there.
     fn fitting(&self, now: At, op: &Op, home: usize) -> usize {
         let left = (op.target - now).secs();
         let needs = |group: usize| self.paces(group).map(|paces| paces.median * op.work);
-        if needs(home).is_none_or(|needed| needed <= left) {
+        if needs(home).is_none_or(|needed| needed <= HEAVY * left) {
             return home;
         }
         let timed = (0..self.table.kinds.len()).filter_map(|group| Some((group, needs(group)?)));
@@ -610,8 +612,7 @@
         if share >= 1.0 {
             return self.asks() || in_flight < self.part(server).max(1.0);
         }
-        // Where it can be asked this is decided on once more when it has told.
-        // By what it holds: what it is sent in a window is what it finishes in it, and this one at most.
+        // What one is sent by its load is what it finishes, and this one. One that can be asked is first.
         let is_known = self.is_known(now, server);
         if is_known || self.can_ask(op, server) {
             let pace = self.paces(server.group).map_or(1.0, |paces| paces.unhindered);
@@ -988,9 +989,7 @@
 
     fn forget(&mut self, op: OpId) {
         let Some(state) = self.ops.remove(&op) else { return };
-        if state.queued {
-            self.queue.retain(|&queued| queued != op);
-        }
+        self.queue.retain(|&queued| queued != op);
         if self.terms.cancelling && !state.streaming {
             for (number, _) in state.pushes.iter().enumerate().filter(|(_, push)| push.out) {
                 self.host.cancel(op, PushNo(number as u16));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -372,15 +372,16 @@
         let ms = if (20..30).contains(&upstream) { 50 } else { 200 };
         world.after_ms(ms).end_after(op, 0, upstream, Ending::Acked, ms);
     }
-    world.note("-- by its own group's pace it would be late");
-    world.op(1000, ORDER, 1, 0.1).op(1001, ORDER, 1, 0.4);
+    world.note("-- by its own group's pace it would take most of its time");
+    world.op(1000, ORDER, 1, 0.06).op(1001, ORDER, 1, 0.1).op(1002, ORDER, 1, 0.4);
     check_after(
         &world,
         "-- by",
         expect![[r#"
-             its own group's pace it would be late
+             its own group's pace it would take most of its time
             op 1000 of category 2 comes | push op 1000 to 11
             op 1001 of category 2 comes | push op 1001 to 21
+            op 1002 of category 2 comes | push op 1002 to 20
         "#]],
     );
 }
