--- a/src/policy.rs
+++ b/src/policy.rs
@@ -314,7 +314,7 @@
         self.table.ends.iter().position(|&end| slot <= end).map_or(DEFAULT, |range| TIP + 1 + range)
     }
 
-    /// Guards against heavy ops lost by the table alone: one that its own group's median pace leaves too little
+    /// Guards against heavy ops lost by the table alone: one that its group's median pace leaves too little
     /// time goes to the group with the quickest pace if it can make it there.
     fn fitting(&self, now: At, op: &Op, home: usize) -> usize {
         let left = (op.target - now).secs();
