--- a/src/state.rs
+++ b/src/state.rs
@@ -429,3 +429,34 @@
     let place = borne.len() / 4;
     (!borne.is_empty()).then(|| *borne.select_nth_unstable_by(place, f64::total_cmp).1)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ids::KindId;
+
+    #[test]
+    fn a_slot_is_given_away_again_but_never_a_place() {
+        let row = |id, condition| Listing {
+            upstream: UpstreamId(id),
+            kind: KindId(0),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            size: 1.0,
+            condition,
+            up_since: None,
+        };
+        let server = |id, condition| Server::listed(At(0), &row(id, condition), 0, 5.0);
+        let mut roster = Roster::default();
+        let stays = roster.add(server(1, Condition::Ready));
+        let mut places = vec![stays];
+        for id in 2..9 {
+            let place = roster.add(server(id, Condition::Gone));
+            assert!(!places.contains(&place));
+            places.push(place);
+            roster.let_go(|_| true);
+        }
+        let known: Vec<usize> = places.into_iter().filter(|&place| roster.has(place)).collect();
+        assert_eq!((known, roster.slots.len(), roster[stays].id), (vec![stays], 2, UpstreamId(1)));
+    }
+}
