Decide on ops without benefit, and never ask without a pause

Found by rereading the change: with all benefits at 0 the part of the limit open to an op was no number, so nothing ever had room (the test printed no push at all); with a target of next to nothing a waiting op rang at each call. Lines at fault: best_benefit, probe_wait.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -108,7 +108,8 @@
         if terms.list_must_be_asked {
             host.watch_list();
         }
-        let probe_wait = terms.least_target().times(PROBE_PART);
+        // Guards against asking without a pause where a target is next to nothing.
+        let probe_wait = terms.least_target().times(PROBE_PART).max(Span(10));
         let in_share = terms.tenant_shares.iter().map(|_| Work::default()).collect();
         Balancer {
             host,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -94,7 +94,7 @@
     }
 
     pub fn best_benefit(&self) -> f64 {
-        self.categories.iter().map(|category| category.benefit).fold(0.0, f64::max)
+        self.categories.iter().map(|category| category.benefit).fold(f64::MIN_POSITIVE, f64::max)
     }
 
     /// One balancer's part of what all of them may do together.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -850,6 +850,26 @@
     );
 }
 
+#[test]
+fn ops_without_benefit_or_time_are_still_decided_on_at_a_sound_pace() {
+    let mut odd = quiet();
+    odd.categories[0] = Category { benefit: 0.0, target_latency: Span::ZERO, ..odd.categories[0].clone() };
+    odd.categories.truncate(1);
+    let mut world = World::new(odd, &one_kind(&[2]));
+    world.op(1, READ, 1, 0.1).told(2, Some(0.0));
+    world.note("-- full, and nothing known of how long answers take");
+    world.op(2, READ, 1, 0.1).told(2, Some(9.0)).ring(2);
+    check(&world, expect![[r#"
+        watch the list
+        op 1 of category 0 comes | probe 2
+        2 holds Some(0.0) | push op 1 to 2
+        -- full, and nothing known of how long answers take
+        op 2 of category 0 comes
+        2 holds Some(9.0)
+        the alarm of op 2 rings
+    "#]]);
+}
+
 #[test]
 fn a_server_that_does_not_answer_its_probe_holds_nobody_up() {
     let mut world = World::new(quiet(), &one_kind(&[2, 4]));
