--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -859,7 +859,9 @@
     world.op(1, READ, 1, 0.1).told(2, Some(0.0));
     world.note("-- full, and nothing known of how long answers take");
     world.op(2, READ, 1, 0.1).told(2, Some(9.0)).ring(2);
-    check(&world, expect![[r#"
+    check(
+        &world,
+        expect![[r#"
         watch the list
         op 1 of category 0 comes | probe 2
         2 holds Some(0.0) | push op 1 to 2
@@ -867,7 +869,8 @@
         op 2 of category 0 comes
         2 holds Some(9.0)
         the alarm of op 2 rings
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
