Let odd probe results do no harm, and reject probes at odds with the limits

Lines at fault: load_report in the session, load_in. Test odd_failed_and_unknown_probe_results_do_no_harm, seen failing without. report.source of probe beside limits.probes of false is rejected by path.

--- a/crates/balancer/src/given.rs
+++ b/crates/balancer/src/given.rs
@@ -86,6 +86,9 @@
         return Err(format!("{LEAST_SOCKETS} sockets or more expected, not {}", file.limits.sockets));
     }
     let expected = |what: String| format!("settings: expected {what}");
+    if file.settings["report"]["source"] == "probe" && file.settings["limits"]["probes"] == false {
+        return Err(expected("limits.probes of true, since report.source is \"probe\"".to_string()));
+    }
     Ok(Given {
         name: file.name,
         listen: file.listen,
--- a/crates/drill/src/session.rs
+++ b/crates/drill/src/session.rs
@@ -209,10 +209,10 @@
             }
             26 => {
                 let upstream = UpstreamId(reader.u32("an upstream")?);
-                ending(reader)?;
+                let ending = ending(reader)?;
                 reader.f64("duration")?;
                 let report = load_report(reader)?;
-                let load = balancer.load_in(&report);
+                let load = balancer.load_in(&report).filter(|_| ending == Ending::Acked);
                 guarded(reply, instance, || balancer.probe_ended(now, ProbeEnd { upstream, load }));
             }
             _ => unreachable!("checked above"),
@@ -303,7 +303,8 @@
 
 fn load_report(reader: &mut Reader) -> Result<Vec<f64>, Fault> {
     let values = reader.u8("the length of a load report")?;
-    (0..values).map(|_| reader.f32("a value of a load report")).collect()
+    // What is no number is not for here to judge: a server that tells nonsense must not end the adapter.
+    (0..values).map(|_| reader.raw_f32("a value of a load report")).collect()
 }
 
 fn listing(reader: &mut Reader) -> Result<Listing, Fault> {
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -54,8 +54,13 @@
     }
 
     pub fn f32(&mut self, what: &str) -> Result<f64, Fault> {
-        let value = f32::from_be_bytes(self.array(what)?);
-        self.finite(value.into(), what)
+        let value = self.raw_f32(what)?;
+        self.finite(value, what)
+    }
+
+    /// Also where it is not finite.
+    pub fn raw_f32(&mut self, what: &str) -> Result<f64, Fault> {
+        self.array(what).map(|bytes| f32::from_be_bytes(bytes).into())
     }
 
     pub fn f64(&mut self, what: &str) -> Result<f64, Fault> {
--- a/crates/drill/tests/frames.rs
+++ b/crates/drill/tests/frames.rs
@@ -104,3 +104,36 @@
         exit 1 doorproxy-drill: batch 6, byte 461: expected start fact n_instances that can be read, not "many"
     "#]].assert_eq(&told.concat());
 }
+
+/// A load report of one value from this server.
+fn probed(upstream: u8, ending: u8, load: f32) -> Vec<u8> {
+    let head = [26, 0, 0, 0, 3, 0, 0, 0, upstream, 0, ending];
+    [&head[..], &[0; 8], &[1], &load.to_be_bytes()].concat()
+}
+
+#[test]
+fn odd_failed_and_unknown_probe_results_do_no_harm() {
+    let facts =
+        format!("{FACTS}report.source=probe\nreport.fields=active\nlimits.probes=true\nprices.probe=0.001\n");
+    let mut told = String::new();
+    let odd = [(9, 1, f32::NAN), (9, 1, f32::INFINITY), (9, 1, -4.0), (9, 4, 0.0), (77, 1, 0.0), (9, 1, 2.0)];
+    for (upstream, ending, load) in odd {
+        let start = frame(1, &[boot(&facts), roster(), membership(2), request(3)]);
+        let end = drill(&[start, frame(2, &[probed(upstream, ending, load)])].concat());
+        let pushed = end.lines().nth(1).is_some_and(|reply| reply.contains("100000000300000005"));
+        writeln!(
+            told,
+            "{upstream} ends {ending} with {load}: pushed {pushed}, {}",
+            end.lines().last().unwrap()
+        )
+        .unwrap();
+    }
+    expect![[r#"
+        9 ends 1 with NaN: pushed false, exit 0 
+        9 ends 1 with inf: pushed false, exit 0 
+        9 ends 1 with -4: pushed false, exit 0 
+        9 ends 4 with 0: pushed false, exit 0 
+        77 ends 1 with 0: pushed false, exit 0 
+        9 ends 1 with 2: pushed true, exit 0 
+    "#]].assert_eq(&told);
+}
--- a/crates/program/tests/sockets.rs
+++ b/crates/program/tests/sockets.rs
@@ -677,6 +677,9 @@
         config.pointer_mut(parent).unwrap()[name] = value;
         config.to_string()
     };
+    let mut at_odds = sound.clone();
+    at_odds["settings"]["limits"]["probes"] = json!(false);
+    at_odds["settings"]["report"] = json!({"source": "probe", "fields": ["active"]});
     let bad = [
         "{".to_string(),
         with("/listen", json!("here")),
@@ -687,6 +690,7 @@
         with("/known/servers", json!([{"id": "a"}])),
         with("/settings/report", json!({"source": "guesses"})),
         with("/settings/report", json!({"source": "probe", "fields": "active"})),
+        at_odds.to_string(),
         with("/settings/az", json!(1)),
         with("/settings/prices", json!({"probe": -0.5})),
         with("/settings/prices", json!({"connection": "free"})),
@@ -708,6 +712,7 @@
         Some(1) missing field `addr` at line 1 column 69
         Some(1) settings: expected a known report.source, not "guesses"
         Some(1) settings: expected start fact limits.probes
+        Some(1) settings: expected limits.probes of true, since report.source is "probe"
         Some(1) settings: expected start fact az under 1, not 1
         Some(1) settings: expected start fact prices.probe of 0 or more, not -0.5
         Some(1) settings: expected start fact prices.connection that can be read, not "free"
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,7 +38,7 @@
 const COLD_MARGIN: f64 = 0.8;
 /// Probes for an op in one go: the two drawn, and two more should these have no room.
 const MOST_PROBES: u8 = 4;
-/// Of the shortest target.
+/// Of the shortest target: so long a load stays known, and an op waits for a probe.
 const PROBE_PART: f64 = 0.05;
 /// What a timely answer adds to the part of ops that is taken, what another leaves of it, and the least.
 const OPENS: f64 = 0.02;
@@ -74,7 +74,6 @@
     queue: Vec<OpId>,
     in_share: Vec<Work>,
     out: u32,
-    /// So long a load stays known, and an op waits for a probe.
     probe_wait: Span,
     seen: Seen,
 }
@@ -397,7 +396,8 @@
     }
 
     pub fn load_in(&self, report: &[f64]) -> Option<f64> {
-        self.terms.load_in_probes.and_then(|place| report.get(place)).copied()
+        let load = self.terms.load_in_probes.and_then(|place| report.get(place)).copied();
+        load.filter(|load| load.is_finite() && *load >= 0.0)
     }
 
     fn asks(&self) -> bool {
