--- a/crates/drill/tests/frames.rs
+++ b/crates/drill/tests/frames.rs
@@ -135,5 +135,6 @@
         9 ends 4 with 0: pushed false, exit 0 
         77 ends 1 with 0: pushed false, exit 0 
         9 ends 1 with 2: pushed true, exit 0 
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
 }
