--- a/crates/program/src/migrate.rs
+++ b/crates/program/src/migrate.rs
@@ -132,7 +132,8 @@
             self.left.insert(path.to_string());
             return None;
         }
-        if CHANGED.iter().any(|(changed, _)| *changed == path) && path != "settings.limits.second_copies" {
+        // What may also stay as it is stands among both.
+        if CHANGED.iter().any(|(changed, _)| *changed == path) && !CARRIED.contains(&path) {
             return None;
         }
         match value {
--- a/crates/program/tests/sockets.rs
+++ b/crates/program/tests/sockets.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use expect_test::{Expect, expect};
+use expect_test::{Expect, expect, expect_file};
 use serde_json::{Value, json};
 
 /// Longer than anything here takes: only a test that has failed waits for it.
@@ -817,115 +817,7 @@
     old["limits"]["cores"] = json!(1.0);
     let (said, folder) = migrate(&old.to_string(), &format!("{WHOLE_CALL} --no-second-copies"));
     let new = std::fs::read_to_string(folder.join("new.json")).unwrap();
-    expect![[r#"
-        changed: settings.n_instances to 90: all balancers count, also those of the old shape for as long as they serve
-        changed: settings.ordinal to 3: its place among all of them
-        changed: settings.report.source to "probe": upstreams tell their load to probes
-        changed: settings.limits.probes to true: loads are asked for by probes
-        changed: settings.limits.second_copies to false: no second copies, as the call says
-        changed: listen to "127.0.0.1:0": each process listens for itself
-        changed: seed to "3a": each process has a chance of its own
-        changed: settings.az to 0: the zone of its process
-        changed: settings.report.fields to ["waiting","active"]: what upstreams tell
-        carried over: discovery
-        carried over: known.full
-        carried over: known.version
-        carried over: limits.sockets
-        carried over: name
-        carried over: settings.categories.*.benefit
-        carried over: settings.categories.*.dedup_scope
-        carried over: settings.categories.*.name
-        carried over: settings.categories.*.semantics
-        carried over: settings.categories.*.target_latency
-        carried over: settings.categories.*.ttl
-        carried over: settings.categories.*.window
-        carried over: settings.dcs.*
-        carried over: settings.discovery
-        carried over: settings.kinds.*
-        carried over: settings.limits.cancelling
-        carried over: settings.limits.connect_timeout
-        carried over: settings.limits.keepalive
-        carried over: settings.limits.max_pushes
-        carried over: settings.limits.max_retry_after
-        carried over: settings.limits.retry_after
-        carried over: settings.obligations.ask_within
-        carried over: settings.obligations.cold
-        carried over: settings.obligations.cold_from
-        carried over: settings.obligations.fall
-        carried over: settings.obligations.fall_multiple
-        unknown, left out: limits.cores
-        exit Some(0), there: new.json old.json
-        {
-          "discovery": "127.0.0.1:1",
-          "known": {
-            "full": true,
-            "servers": [],
-            "version": 1
-          },
-          "limits": {
-            "sockets": 256
-          },
-          "listen": "127.0.0.1:0",
-          "name": "n0",
-          "seed": "3a",
-          "settings": {
-            "az": 0,
-            "categories": [
-              {
-                "benefit": 1.0,
-                "dedup_scope": "all",
-                "name": "look",
-                "semantics": "pure",
-                "target_latency": 1.0,
-                "ttl": 60.0,
-                "window": 5.0
-              },
-              {
-                "benefit": 1.0,
-                "dedup_scope": "all",
-                "name": "buy",
-                "semantics": "side_effect",
-                "target_latency": 1.0,
-                "ttl": 60.0,
-                "window": 5.0
-              }
-            ],
-            "dcs": [
-              "east"
-            ],
-            "discovery": "on_request",
-            "kinds": [
-              "small"
-            ],
-            "limits": {
-              "cancelling": true,
-              "connect_timeout": 0.5,
-              "keepalive": 60.0,
-              "max_pushes": 4,
-              "max_retry_after": 2.0,
-              "probes": true,
-              "retry_after": true,
-              "second_copies": false
-            },
-            "n_instances": 90,
-            "obligations": {
-              "ask_within": 2.0,
-              "cold": 20.0,
-              "cold_from": 0.2,
-              "fall": 2.0,
-              "fall_multiple": 2.5
-            },
-            "ordinal": 3,
-            "report": {
-              "fields": [
-                "waiting",
-                "active"
-              ],
-              "source": "probe"
-            }
-          }
-        }
-    "#]].assert_eq(&format!("{said}{new}"));
+    expect_file!["kept/migrated.txt"].assert_eq(&format!("{said}{new}"));
 }
 
 #[test]
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -30,12 +30,21 @@
         sound.then_some(number).ok_or_else(|| format!("start fact {path} of 0 or more, not {number}"))
     }
 
+    /// None where it is not said; what is said has to be sound.
+    fn optional<'a, T>(
+        &'a self,
+        path: &str,
+        read: impl Fn(&'a Self, &str) -> Result<T, String>,
+    ) -> Result<Option<T>, String> {
+        self.0.contains_key(path).then(|| read(self, path)).transpose()
+    }
+
     pub fn span(&self, path: &str) -> Result<Span, String> {
         self.number(path).map(Span::from_secs)
     }
 
     fn length(&self, path: &str) -> Result<usize, String> {
-        if self.0.contains_key(path) { self.value(path) } else { Ok(0) }
+        Ok(self.optional(path, Self::value)?.unwrap_or(0))
     }
 
     fn category(&self, place: usize) -> Result<Category, String> {
@@ -54,11 +63,10 @@
             },
             other => return Err(format!("a known {}, not {other:?}", of("semantics"))),
         };
-        let stretch = of("aim_stretch");
         Ok(Category {
             benefit: self.number(&of("benefit"))?,
             target_latency: self.span(&of("target_latency"))?,
-            target_stretch: if self.0.contains_key(&stretch) { self.number(&stretch)? } else { 0.0 },
+            target_stretch: self.optional(&of("aim_stretch"), Self::number)?.unwrap_or(0.0),
             ttl: self.span(&of("ttl"))?,
             late_benefit: self.part_or_none(&of("overdue_benefit"))?,
             repeats,
@@ -67,8 +75,7 @@
 
     /// The place of the load among a report's values, where servers tell it to probes and only to them.
     fn load_in_probes(&self) -> Result<Option<usize>, String> {
-        let source = if self.0.contains_key("report.source") { self.text("report.source")? } else { "none" };
-        match source {
+        match self.optional("report.source", Self::text)?.unwrap_or("none") {
             "probe" => {}
             "answers" | "none" => return Ok(None),
             other => return Err(format!("a known report.source, not {other:?}")),
@@ -91,20 +98,18 @@
 
     /// A part of one, or nothing where it is not said.
     fn part_or_none(&self, path: &str) -> Result<f64, String> {
-        let part = if self.0.contains_key(path) { self.number(path)? } else { 0.0 };
+        let part = self.optional(path, Self::number)?.unwrap_or(0.0);
         (part <= 1.0).then_some(part).ok_or_else(|| format!("start fact {path} of 1 at most, not {part}"))
     }
 
     /// Said to be free; what is not said may cost something.
     fn is_free(&self, path: &str) -> Result<bool, String> {
-        if self.0.contains_key(path) { Ok(self.number(path)? == 0.0) } else { Ok(false) }
+        Ok(self.optional(path, Self::number)? == Some(0.0))
     }
 
     fn zone(&self) -> Result<Option<ZoneId>, String> {
-        if !self.0.contains_key("az") {
-            return Ok(None);
-        }
-        let (zone, zones): (u16, _) = (self.value("az")?, self.list("dcs")?.len());
+        let Some(zone) = self.optional("az", Self::value::<u16>)? else { return Ok(None) };
+        let zones = self.list("dcs")?.len();
         let is_known = usize::from(zone) < zones;
         is_known
             .then_some(Some(ZoneId(zone)))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,7 @@
 use crate::ids::{AlarmId, At, CategoryId, KindId, OpId, PushNo, Span, TenantId, UpstreamId};
 use crate::rng::{Pcg, mix};
 use crate::samples::Work;
-use crate::state::{Op, Paces, Push, Roster, Sample, Seen, Server, Table, weaker_bear};
+use crate::state::{Op, Paces, Push, Roster, SERVER_SAMPLES, Sample, Seen, Server, Table, weaker_bear};
 use crate::terms::{DedupGroup, Repeats, StartTerms};
 
 /// A first push and up to two further ones: what the on-call staff know to be enough.
@@ -31,8 +31,6 @@
 const CROWDED: f64 = 1.1;
 /// The part of its time that an op may need in its own group: paces are medians, and there may be a queue.
 const HEAVY: f64 = 0.4;
-/// Enough answers to even out which of them met a kept key, few enough to follow a burst.
-const SERVER_SAMPLES: usize = 8;
 /// The part of a cold server's lawful work that is used. Its capacity is a guess by others of its kind, and
 /// one server that falls over costs more than some that idle for seconds.
 const COLD_MARGIN: f64 = 0.8;
@@ -333,8 +331,8 @@
         let op = &self.ops[&id];
         let all = self.table.kinds.len();
         let home = self.fitting(now, op, self.home(op));
-        let mut groups = vec![home, DEFAULT, all];
-        groups.dedup();
+        let groups = [home, DEFAULT, all];
+        let groups = &groups[usize::from(home == DEFAULT)..];
         let nears: &[bool] = if self.draws_whole() { &[true, false] } else { &[false] };
         let mut tries = nears.iter().flat_map(|&near| groups.iter().map(move |&group| (group, near)));
         let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
@@ -409,13 +407,13 @@
     }
 
     fn is_known(&self, now: At, server: &Server) -> bool {
-        server.seen.is_some_and(|(at, _)| now - at <= self.probe_wait)
+        server.told_load.is_some_and(|(at, _)| now - at <= self.probe_wait)
     }
 
     /// What a server holds: as it told last and what was pushed to it since, or what it holds of ours.
     fn load(&self, now: At, server: &Server) -> f64 {
         let own = f64::from(server.in_flight);
-        let Some((at, load)) = server.seen.filter(|_| self.is_known(now, server)) else { return own };
+        let Some((at, load)) = server.told_load.filter(|_| self.is_known(now, server)) else { return own };
         own.max(load + server.sent.within(now, now - at + Span(1)).0 as f64)
     }
 
@@ -443,7 +441,7 @@
         let server = &mut self.servers[place];
         server.probed_at = None;
         if let Some(load) = end.load {
-            server.seen = Some((now, load));
+            server.told_load = Some((now, load));
         }
         self.ops.values_mut().filter(|op| op.asking == Some(place)).for_each(|op| op.again_at = now);
         self.serve_queue(now);
@@ -678,7 +676,7 @@
         for (group, borne) in borne.iter_mut().enumerate() {
             let own = self.own(group).map(|(_, place)| &self.servers[place]);
             let warm: Vec<&Server> = own.filter(|server| self.cold_share(now, server) >= 1.0).collect();
-            *borne = weaker_bear(&warm, now, window, self.terms.cold.warm_within, SERVER_SAMPLES);
+            *borne = weaker_bear(&warm, now, window, self.terms.cold.warm_within);
         }
         // Where no warm server is left, what they bore last is still the best to go by.
         let before = std::mem::take(&mut self.seen.borne).into_iter().chain(std::iter::repeat(None));
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,7 +83,7 @@
     pub up_since: Option<At>,
     pub in_flight: u32,
     /// The load that its last probe told of, and since when the next one is out.
-    pub seen: Option<(At, f64)>,
+    pub told_load: Option<(At, f64)>,
     pub probed_at: Option<At>,
     pub full_until: At,
     /// For all balancers together; each keeps to its part.
@@ -253,7 +253,7 @@
             condition: row.condition,
             up_since: row.up_since,
             in_flight: 0,
-            seen: None,
+            told_load: None,
             probed_at: None,
             full_until: now,
             limit,
@@ -315,8 +315,8 @@
 
 /// Figures are worked out anew after so many answers: every op asks for several, and CPU is scarce.
 const ANSWERS_BETWEEN_FIGURES: usize = 16;
-/// So many samples are kept, however old.
-const LEAST_SAMPLES: usize = 8;
+/// Enough answers to even out which of them met a kept key, few enough to follow a burst. So many are kept, however old.
+pub const SERVER_SAMPLES: usize = 8;
 /// The bound is read anew only this often: sorting the hints for each op would cost too much CPU.
 const HINTS_BETWEEN_BOUNDS: usize = 32;
 /// Hints that bound the tip group's work: heavy tails need a few hundred before the bound stands still.
@@ -367,7 +367,7 @@
         measured.answers += 1;
         // Guards against going by what was usual before a trouble: where balancers are many the last samples
         // reach back half a minute, but no op that is still held is older than the longest TTL.
-        while measured.fleet.len() > LEAST_SAMPLES
+        while measured.fleet.len() > SERVER_SAMPLES
             && measured.fleet.oldest().is_some_and(|of| now - of.at > oldest)
         {
             measured.fleet.drop_oldest();
@@ -416,11 +416,11 @@
 }
 
 /// The work that the weaker quarter of these answers in a window, for each unit of size.
-pub fn weaker_bear(servers: &[&Server], now: At, window: Span, longest: Span, samples: usize) -> Option<f64> {
+pub fn weaker_bear(servers: &[&Server], now: At, window: Span, longest: Span) -> Option<f64> {
     let answers = |span| servers.iter().map(|server| server.answered.within(now, span).0).sum::<usize>();
     // One of many balancers has to look back further for as much evidence.
     let mut spans = 1.0;
-    while answers(window.times(spans)) < samples && window.times(2.0 * spans) <= longest {
+    while answers(window.times(spans)) < SERVER_SAMPLES && window.times(2.0 * spans) <= longest {
         spans *= 2.0;
     }
     let span = window.times(spans);
