--- a/src/facts.rs
+++ b/src/facts.rs
@@ -146,6 +146,9 @@
             probe_price: self.part_or_none("prices.probe")?,
             zone: self.zone()?,
             list_must_be_asked,
+            only_draining_binds: self
+                .optional("obligations.only_draining_binds", Self::value)?
+                .unwrap_or(false),
             ask_within: self.span("obligations.ask_within")?,
             cold: ColdStart {
                 least_share: self.number("obligations.cold_from")?,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -146,7 +146,8 @@
 
     pub fn list_given(&mut self, now: At, rows: &[Listing]) {
         // A server that a whole list leaves out has been taken away.
-        self.servers.iter_mut().for_each(|server| server.condition = Condition::Gone);
+        let only_draining_binds = self.terms.only_draining_binds;
+        self.servers.iter_mut().for_each(|server| server.drop_from_list(only_draining_binds));
         self.list_changed(now, rows);
     }
 
@@ -161,15 +162,12 @@
         // Guards against keeping for ever what replaced machines left behind. What one got lately counts
         // against its budget, should it be back.
         let lately = now - self.terms.cold.warm_within.max(self.terms.longest_ttl());
+        self.servers.weigh_dropped(lately);
         self.servers.let_go(|server| server.sent.last().is_none_or(|at| at < lately));
         self.places.retain(|_, place| self.servers.has(*place));
         self.doubted.retain(|place| self.servers.has(*place));
-        self.members = vec![Vec::new(); self.table.kinds.len()];
-        for (place, server) in self.servers.ready() {
-            self.members[server.group].push((u64::from(server.id.0), place));
-        }
+        self.members = self.servers.rings(self.table.kinds.len());
         for members in &mut self.members {
-            members.sort_by_key(|&(id, _)| mix(id));
             // Starts a golden section apart lie evenly on the ring, whatever run of balancers is looked at.
             let start = u64::from(self.terms.ordinal).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let start = (u128::from(start) * members.len() as u128) >> 64;
@@ -199,7 +197,7 @@
     /// The servers of the group that this balancer uses: when one is doubted, the next on the ring steps in.
     fn own(&self, group: usize) -> impl Iterator<Item = (u64, usize)> {
         let members = self.members.get(group).into_iter().flatten().copied();
-        members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group))
+        members.filter(|&(_, place)| self.servers[place].is_trusted()).take(self.subset(group))
     }
 
     /// Guards against filling servers' tables of connections: one that stepped in is left in the end.
@@ -211,7 +209,7 @@
                 server.is_open = false;
                 self.host.close_idle(server.id);
             }
-            used -= usize::from(used > 0 && server.to_prove == 0);
+            used -= usize::from(used > 0 && server.is_trusted());
         }
     }
 
@@ -228,6 +226,9 @@
             self.places.insert(row.upstream, place);
             return;
         };
+        if row.condition == Condition::Gone {
+            return self.servers[place].drop_from_list(self.terms.only_draining_binds);
+        }
         if self.servers[place].relisted(now, row) && is_cold {
             let phase = self.rng.unit();
             (self.servers[place].phase, self.servers[place].limit) = (phase, LEAST_LIMIT);
@@ -344,7 +345,7 @@
         let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing. And
         // against nacks of ops that lose least by a failure while a server that fails some is idle.
-        let doubted = |place: usize| self.servers[place].to_prove > 0;
+        let doubted = |place: usize| !self.servers[place].is_trusted();
         let found = drawn.or_else(|| {
             let ready = self.members.iter().flatten();
             let all_doubted = ready.clone().all(|&(_, place)| doubted(place));
@@ -482,7 +483,11 @@
         let is_new = !op.pushes.iter().any(|push| push.server == place);
         let has_room = !self.draws_whole()
             || self.load(now, server) < LEAST_LIMIT * self.open_part(op) * self.cold_share(now, server);
-        is_new && has_room && self.may_repeat_on(now, op, server) && self.bears(now, op, server)
+        server.is_ready()
+            && is_new
+            && has_room
+            && self.may_repeat_on(now, op, server)
+            && self.bears(now, op, server)
     }
 
     fn open_part(&self, op: &Op) -> f64 {
@@ -604,10 +609,7 @@
     // What a server bears.
 
     fn cold_share(&self, now: At, server: &Server) -> f64 {
-        let cold = &self.terms.cold;
-        let Some(since) = server.up_since else { return 1.0 };
-        let warmed = (now - since).secs() / cold.warm_within.secs().max(1e-4);
-        (cold.least_share + (1.0 - cold.least_share) * warmed).clamp(0.0, 1.0)
+        self.terms.cold.share(now, server.up_since)
     }
 
     fn bears(&self, now: At, op: &Op, server: &Server) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 
 use crate::host::{Condition, Listing, OpArrival};
 use crate::ids::{At, CellId, KindId, Span, UpstreamId, ZoneId};
+use crate::rng::mix;
 use crate::samples::{Ring, Work};
 
 /// How one push ended, as evidence of its server.
@@ -79,6 +80,9 @@
     pub cell: CellId,
     pub size: f64,
     pub condition: Condition,
+    /// Where only draining binds: the list has dropped it, and never called it draining.
+    pub dropped: bool,
+    pub has_drained: bool,
     /// When it last started; its warming is counted from here. None: long ago.
     pub up_since: Option<At>,
     pub in_flight: u32,
@@ -158,6 +162,31 @@
         self.slots.iter_mut().filter_map(|(_, server)| server.as_mut())
     }
 
+    /// The servers of each group, id and place, as they lie on a ring.
+    pub fn rings(&self, groups: usize) -> Vec<Vec<(u64, usize)>> {
+        let mut rings = vec![Vec::new(); groups];
+        for (slot, (given, server)) in self.slots.iter().enumerate() {
+            let server = server.as_ref().filter(|server| server.condition == Condition::Ready);
+            if let Some(server) = server {
+                rings[server.group].push((u64::from(server.id.0), given << SLOT_BITS | slot));
+            }
+        }
+        rings.iter_mut().for_each(|ring| ring.sort_by_key(|&(id, _)| mix(id)));
+        rings
+    }
+
+    /// A list that drops more than it leaves is doubtful, and what it drops is gone only where it is not: or what has not
+    /// answered so lately would be taken for gone by a list that is wrong of all that does.
+    pub fn weigh_dropped(&mut self, lately: At) {
+        let ready = self.iter_mut().filter(|server| server.condition == Condition::Ready);
+        let (dropped, left): (Vec<_>, Vec<_>) = ready.partition(|server| server.dropped);
+        if dropped.len() <= left.len() {
+            let silent = |server: &Server| server.answered.last().is_none_or(|at| at < lately);
+            let gone = dropped.into_iter().filter(|server| silent(server) || !server.is_ready());
+            gone.for_each(|server| server.condition = Condition::Gone);
+        }
+    }
+
     /// Of those that are gone and have nothing in flight.
     pub fn let_go(&mut self, is_over: impl Fn(&Server) -> bool) {
         let is_past = |server: &Server| server.condition == Condition::Gone && server.in_flight == 0;
@@ -231,13 +260,28 @@
 }
 
 impl Server {
+    /// One that the list has dropped is so by what it showed itself: it answered, and refused no connection since.
     pub fn is_ready(&self) -> bool {
-        self.condition == Condition::Ready
+        let answers = !self.refuses && self.answered.last().is_some();
+        self.condition == Condition::Ready && (!self.dropped || answers)
+    }
+
+    pub fn is_trusted(&self) -> bool {
+        self.to_prove == 0 && self.is_ready()
+    }
+
+    /// The list calls it gone, or leaves it out.
+    pub fn drop_from_list(&mut self, only_draining_binds: bool) {
+        self.dropped = only_draining_binds && self.condition == Condition::Ready && !self.has_drained;
+        if !self.dropped {
+            self.condition = Condition::Gone;
+        }
     }
 
     /// True where a new process answers by this name: it does so for itself, not for the failures of the old one.
     pub fn relisted(&mut self, now: At, row: &Listing) -> bool {
-        (self.condition, self.size) = (row.condition, row.size);
+        (self.condition, self.size, self.dropped) = (row.condition, row.size, false);
+        self.has_drained |= row.condition == Condition::Draining;
         let is_new = row.up_since > self.up_since;
         if is_new {
             self.up_since = row.up_since;
@@ -255,6 +299,8 @@
             cell: row.cell,
             size: row.size,
             condition: row.condition,
+            dropped: false,
+            has_drained: row.condition == Condition::Draining,
             up_since: row.up_since,
             in_flight: 0,
             told_load: None,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,6 +1,6 @@
 //! What a balancer is told once, at its start.
 
-use crate::ids::{CategoryId, Span, ZoneId};
+use crate::ids::{At, CategoryId, Span, ZoneId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupGroup {
@@ -72,10 +72,21 @@
     /// The zone of this balancer, where it was told.
     pub zone: Option<ZoneId>,
     pub list_must_be_asked: bool,
+    /// A server that the list drops without having called it draining may still be pushed to.
+    pub only_draining_binds: bool,
     pub ask_within: Span,
     pub cold: ColdStart,
 }
 
+impl ColdStart {
+    /// The part of its capacity that a server is sure to have by now.
+    pub fn share(&self, now: At, up_since: Option<At>) -> f64 {
+        let Some(since) = up_since else { return 1.0 };
+        let warmed = (now - since).secs() / self.warm_within.secs().max(1e-4);
+        (self.least_share + (1.0 - self.least_share) * warmed).clamp(0.0, 1.0)
+    }
+}
+
 impl StartTerms {
     pub fn category(&self, id: CategoryId) -> &Category {
         &self.categories[usize::from(id.0)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,6 +88,7 @@
         probe_price: 0.0,
         zone: None,
         list_must_be_asked: true,
+        only_draining_binds: false,
         ask_within: Span::from_secs(10.0),
         cold: ColdStart {
             least_share: 0.2,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -118,6 +118,63 @@
     );
 }
 
+#[test]
+fn what_a_wrong_list_drops_serves_on_while_it_answers_but_only_where_only_draining_binds() {
+    let told = |only_draining_binds| {
+        let mut world = World::new(StartTerms { only_draining_binds, ..terms() }, &one_kind(&[1, 2, 3, 4]));
+        for (op, key) in [(0, 1), (1, 2), (2, 4), (3, 1), (4, 2), (5, 4)] {
+            world.op(op, READ, key, 0.1).answered(op, 100);
+        }
+        world.note("-- server 4 drains, then all are gone; 3 never answered");
+        world.balancer.list_changed(world.now, &[with(Condition::Draining, server(4, 0))]);
+        let gone: Vec<Listing> =
+            one_kind(&[1, 2, 3, 4]).into_iter().map(|row| with(Condition::Gone, row)).collect();
+        world.balancer.list_changed(world.now, &gone);
+        world.op(10, READ, 1, 0.1).op(11, READ, 2, 0.1).op(12, READ, 3, 0.1).op(13, READ, 4, 0.1);
+        world.note("-- one refuses a connection");
+        let last = world.last_pushed();
+        world.after_ms(1).end(13, 0, last, Ending::ConnectFailed);
+        world.op(14, READ, 1, 0.1).op(15, READ, 2, 0.1).op(16, READ, 3, 0.1);
+        world.note("-- the whole list is back without 1: it is right, and what it drops serves on by its answers alone");
+        world.balancer.list_given(world.now, &one_kind(&[2, 3, 4]));
+        world.op(17, READ, 1, 0.1).op(18, READ, 2, 0.1).op(19, READ, 3, 0.1);
+        world.trace()[world.trace().find("--").unwrap()..].replace("\n  ", " | ").replace("  ", "")
+    };
+    expect![[r#"
+        -- server 4 drains, then all are gone; 3 never answered
+        op 10 of category 0 comes | push op 10 to 2
+        op 11 of category 0 comes | push op 11 to 1
+        op 12 of category 0 comes | push op 12 to 1
+        op 13 of category 0 comes | push op 13 to 2
+        -- one refuses a connection
+        push 0 of op 13 ends at 2: ConnectFailed | log: upstream 2 set aside for 205 ms: its connection failed | push op 13 to 1
+        op 14 of category 0 comes
+        op 15 of category 0 comes
+        op 16 of category 0 comes
+        -- the whole list is back without 1: it is right, and what it drops serves on by its answers alone | push op 14 to 3 | push op 15 to 4 | push op 16 to 4
+        op 17 of category 0 comes | push op 17 to 3
+        op 18 of category 0 comes | push op 18 to 3
+        op 19 of category 0 comes
+    "#]].assert_eq(&told(true));
+    expect![[r#"
+        -- server 4 drains, then all are gone; 3 never answered
+        op 10 of category 0 comes | nack op 10, say when to come back
+        op 11 of category 0 comes | nack op 11, say when to come back
+        op 12 of category 0 comes | nack op 12, say when to come back
+        op 13 of category 0 comes | nack op 13, say when to come back
+        -- one refuses a connection
+        push 0 of op 13 ends at 1: ConnectFailed | log: upstream 1 set aside for 190 ms: its connection failed
+        op 14 of category 0 comes | nack op 14, say when to come back
+        op 15 of category 0 comes | nack op 15, say when to come back
+        op 16 of category 0 comes | nack op 16, say when to come back
+        -- the whole list is back without 1: it is right, and what it drops serves on by its answers alone
+        op 17 of category 0 comes | push op 17 to 2
+        op 18 of category 0 comes | push op 18 to 3
+        op 19 of category 0 comes | push op 19 to 4
+    "#]]
+    .assert_eq(&told(false));
+}
+
 #[test]
 fn nothing_new_goes_to_a_draining_server_or_one_left_out_of_the_list() {
     let mut world = World::new(terms(), &one_kind(&[1, 2]));
