--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -185,11 +185,15 @@
     }
     world.note("-- others wait: a tenth of a second of work, and clients that stay for 120 and 400 ms");
     world.arrive(10, READ, Some(Key(1)), Some(0.1), 0.12).arrive(11, READ, Some(Key(1)), Some(0.1), 0.4);
-    check_after(&world, "-- others", expect![[r#"
+    check_after(
+        &world,
+        "-- others",
+        expect![[r#"
          wait: a tenth of a second of work, and clients that stay for 120 and 400 ms
         op 10 of category 0 comes | nack op 10, say when to come back
         op 11 of category 0 comes
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
