--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -188,7 +188,9 @@
             rows.extend(gone);
             world.balancer.list_changed(world.now, &rows);
             world.after_ms(10_000);
-            (0..8).for_each(|op| drop(world.op(op, READ, u64::from(op), 0.1)));
+            for op in 0..8 {
+                world.op(op, READ, u64::from(op), 0.1);
+            }
             world.trace().contains("to 9\n")
         };
         (0..100).filter(uses).count()
