--- a/src/policy.rs
+++ b/src/policy.rs
@@ -196,8 +196,8 @@
         f64::from(self.terms.balancers.max(1)) * self.subset(group).max(1) as f64 / members as f64
     }
 
-    /// The servers that this balancer uses of the group: for one that is doubted the next steps in, but not for
-    /// one that a list has dropped: guards against all balancers at the few that a wrong list leaves.
+    /// The servers that this balancer uses of the group: the next steps in for a doubted one, but not for one
+    /// that a list has dropped: guards against all balancers at the few that a wrong list leaves.
     fn own(&self, group: usize) -> impl Iterator<Item = (u64, usize)> {
         let members = self.members.get(group).into_iter().flatten().copied();
         let own = members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group));
