--- a/src/state.rs
+++ b/src/state.rs
@@ -152,10 +152,15 @@
     }
 
     pub fn ready(&self) -> impl Iterator<Item = (usize, &Server)> {
-        let places =
-            self.slots.iter().enumerate().map(|(slot, (given, server))| (given << SLOT_BITS | slot, server));
-        places
-            .filter_map(|(place, server)| Some((place, server.as_ref().filter(|server| server.is_ready())?)))
+        self.listed().filter(|(_, server)| server.is_ready())
+    }
+
+    /// Those listed as ready, and those that were when a doubtful list dropped them.
+    fn listed(&self) -> impl Iterator<Item = (usize, &Server)> {
+        let slots = self.slots.iter().enumerate();
+        let servers =
+            slots.filter_map(|(slot, (given, server))| Some((given << SLOT_BITS | slot, server.as_ref()?)));
+        servers.filter(|(_, server)| server.condition == Condition::Ready)
     }
 
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
@@ -165,18 +170,15 @@
     /// The servers of each group, id and place, as they lie on a ring.
     pub fn rings(&self, groups: usize) -> Vec<Vec<(u64, usize)>> {
         let mut rings = vec![Vec::new(); groups];
-        for (slot, (given, server)) in self.slots.iter().enumerate() {
-            let server = server.as_ref().filter(|server| server.condition == Condition::Ready);
-            if let Some(server) = server {
-                rings[server.group].push((u64::from(server.id.0), given << SLOT_BITS | slot));
-            }
+        for (place, server) in self.listed() {
+            rings[server.group].push((u64::from(server.id.0), place));
         }
         rings.iter_mut().for_each(|ring| ring.sort_by_key(|&(id, _)| mix(id)));
         rings
     }
 
-    /// A list that drops more than it leaves is doubtful, and what it drops is gone only where it is not: or what has not
-    /// answered so lately would be taken for gone by a list that is wrong of all that does.
+    /// A list that drops more than it leaves is doubtful, and nothing is gone by its word. Any other is believed of what it
+    /// drops, but for servers that have answered since then.
     pub fn weigh_dropped(&mut self, lately: At) {
         let ready = self.iter_mut().filter(|server| server.condition == Condition::Ready);
         let (dropped, left): (Vec<_>, Vec<_>) = ready.partition(|server| server.dropped);
