--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,8 +17,7 @@
 const FORGETS_AFTER: u32 = 8;
 /// How far beyond its fellows a server must be before it counts as ill rather than unlucky.
 const ILL_MULTIPLE: f64 = 3.0;
-/// An op whose client stays for less than so many times what it takes in the quickest group is hopeless: by once the
-/// median half would still be answered, and two and three lose what one and a half gains on some days.
+/// Where a client stays for less than so many of the quickest group's medians, its op is hopeless.
 const HOPELESS: f64 = 1.5;
 /// So many that wait are passed over for a lighter one: enough to find one, few enough for the CPU.
 const MOST_PASSED: usize = 8;
@@ -197,10 +196,12 @@
         f64::from(self.terms.balancers.max(1)) * self.subset(group).max(1) as f64 / members as f64
     }
 
-    /// The servers of the group that this balancer uses: when one is doubted, the next on the ring steps in.
+    /// The servers of the group that this balancer uses: when one is doubted, the next on the ring steps in. For one
+    /// that a list has dropped none does: guards against all balancers at the few that a wrong list leaves.
     fn own(&self, group: usize) -> impl Iterator<Item = (u64, usize)> {
         let members = self.members.get(group).into_iter().flatten().copied();
-        members.filter(|&(_, place)| self.servers[place].is_trusted()).take(self.subset(group))
+        let own = members.filter(|&(_, place)| self.servers[place].to_prove == 0).take(self.subset(group));
+        own.filter(|&(_, place)| self.servers[place].is_ready())
     }
 
     /// Guards against filling servers' tables of connections: one that stepped in is left in the end.
@@ -212,7 +213,7 @@
                 server.is_open = false;
                 self.host.close_idle(server.id);
             }
-            used -= usize::from(used > 0 && server.is_trusted());
+            used -= usize::from(used > 0 && server.to_prove == 0);
         }
     }
 
@@ -354,7 +355,7 @@
         let drawn = tries.find_map(|(group, near)| self.draw(now, op, salt, group, near));
         // Guards against answering nobody while every server is doubted: then the doubt tells nothing. And
         // against nacks of ops that lose least by a failure while a server that fails some is idle.
-        let doubted = |place: usize| !self.servers[place].is_trusted();
+        let doubted = |place: usize| self.servers[place].to_prove > 0;
         let found = drawn.or_else(|| {
             let ready = self.members.iter().flatten();
             let all_doubted = ready.clone().all(|&(_, place)| doubted(place));
@@ -611,6 +612,11 @@
         if share >= 1.0 {
             return self.asks() || in_flight < self.part(server).max(1.0);
         }
+        // Guards against cold servers that step in for doubted ones at all balancers: budgets count on a few.
+        let mut own = self.members[server.group].iter().take(self.subset(server.group));
+        if !own.any(|&(id, _)| id == u64::from(server.id.0)) {
+            return false;
+        }
         // What one is sent by its load is what it finishes, and this one. One that can be asked is first.
         let is_known = self.is_known(now, server);
         if is_known || self.can_ask(op, server) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -266,10 +266,6 @@
         self.condition == Condition::Ready && (!self.dropped || answers)
     }
 
-    pub fn is_trusted(&self) -> bool {
-        self.to_prove == 0 && self.is_ready()
-    }
-
     /// The list calls it gone, or leaves it out.
     pub fn drop_from_list(&mut self, only_draining_binds: bool) {
         self.dropped = only_draining_binds && self.condition == Condition::Ready && !self.has_drained;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -175,6 +175,30 @@
     .assert_eq(&told(false));
 }
 
+/// Of a hundred balancers, those that use the one newcomer before and after a wrong list drops all servers but it.
+#[test]
+fn a_cold_newcomer_is_not_met_by_all_balancers_because_a_list_dropped_the_others() {
+    let users = |drops: bool| {
+        let uses = |&ordinal: &u32| {
+            let terms = StartTerms { only_draining_binds: true, balancers: 100, ordinal, ..terms() };
+            let mut world = World::new(terms, &one_kind(&[1, 2, 3, 4, 5, 6, 7, 8]));
+            let up_since = Some(world.now);
+            let mut rows = vec![Listing { up_since, ..server(9, 0) }];
+            let gone = (1..9).filter(|_| drops).map(|id| with(Condition::Gone, server(id, 0)));
+            rows.extend(gone);
+            world.balancer.list_changed(world.now, &rows);
+            world.after_ms(10_000);
+            (0..8).for_each(|op| drop(world.op(op, READ, u64::from(op), 0.1)));
+            world.trace().contains("to 9\n")
+        };
+        (0..100).filter(uses).count()
+    };
+    expect![[r#"
+        0 before, 22 after
+    "#]]
+    .assert_eq(&format!("{} before, {} after\n", users(false), users(true)));
+}
+
 #[test]
 fn an_op_whose_client_will_have_gone_is_refused_at_once_but_only_while_others_wait() {
     let mut world = World::new(StartTerms { balancers: 1, ..terms() }, &one_kind(&[1]));
