Ask once more at an attempt's first byte, and tell the time that is left then

At fault: push in upstreams.rs wrote Req-Deadline-Ms before the connection was asked for, and between pick and the first byte lie a task, a wait for a socket and a dial. Ruled out: the queue of the decisions (the time is reckoned after it). The same gap let a push begin after the news that forbid it: with a dial held back, one chosen before the upstream was told to drain was written to it, and one whose client had left was written where pushes may not be called off. Now each upstream has a pool of its own, in pool.rs, over hyper's connections: the connection is there before the request is made, so the time is told then, and the connection asks as it writes the first byte whether the op is in hand, not decided on, in time, and the upstream takes new ones; what is held back so is proved unsent. Draining by hand and by hand-over reach the pools as well.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -12,7 +12,7 @@
 use axum::extract::{Request, State};
 use axum::http::StatusCode;
 use axum::routing::{get, post};
-use doorproxy::facade::{Facade, News};
+use doorproxy::facade::Facade;
 use doorproxy::host::Condition;
 use doorproxy::ids::{At, Span};
 use doorproxy_members::message::NameId;
@@ -29,7 +29,7 @@
 use crate::fellows::Fellows;
 use crate::figures::{Figures, Gauges};
 use crate::keeping::Keeping;
-use crate::list::List;
+use crate::list::{List, hand_on};
 use crate::note;
 use crate::upstreams::Upstreams;
 use crate::world::{Listener, World};
@@ -250,7 +250,7 @@
         for row in rows.iter().filter(|row| row.condition == Condition::Draining) {
             self.upstreams.close_idle(row.upstream);
         }
-        self.facade.tick(self.world.now(), News::Changes(&rows));
+        hand_on(self.world.now(), &self.facade, &self.upstreams, &rows);
     }
 }
 
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod keeping;
 pub mod list;
 pub mod log;
+pub mod pool;
 pub mod probes;
 pub mod pulse;
 pub mod ring;
--- a/crates/balancer/src/list.rs
+++ b/crates/balancer/src/list.rs
@@ -305,6 +305,12 @@
     facade.tick(world.now(), if answer.full { News::Whole(&rows) } else { News::Changes(&rows) });
 }
 
+/// Rows of upstreams that are in the list, of which something else is known now than what the list says.
+pub fn hand_on<W: World>(now: At, facade: &Facade, upstreams: &Upstreams<W>, rows: &[Listing]) {
+    upstreams.note(rows);
+    facade.tick(now, News::Changes(rows));
+}
+
 async fn call<W: World>(
     world: &W,
     client: &Client<Dial<W>, Empty<Bytes>>,
--- a/crates/balancer/src/whole.rs
+++ b/crates/balancer/src/whole.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use axum::http::StatusCode;
-use doorproxy::facade::{Facade, News};
+use doorproxy::facade::Facade;
 use doorproxy::ids::{At, Span};
 use doorproxy_recovery::uses::Source;
 use tokio::sync::watch;
@@ -81,7 +81,7 @@
     pub fn leave_cold(&self, now: At, since: Option<At>) {
         let mut list = self.list.lock().expect("no panic while the list is held");
         let rows = list.leave_cold(since);
-        self.facade.tick(now, News::Changes(&rows));
+        list::hand_on(now, &self.facade, &self.upstreams, &rows);
     }
 
     /// What the operators' address serves. Those out by hand are known before the list is.
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -152,6 +152,11 @@
 }
 
 impl Slot {
+    /// Its final answer waits to be fetched.
+    fn is_decided(&self) -> bool {
+        self.next.iter().any(|next| !matches!(next, Next::Push(_)))
+    }
+
     fn put(&mut self, next: Next) {
         self.next.push_back(next);
         if let Some(waker) = self.waker.take() {
@@ -304,15 +309,23 @@
         poll_fn(poll).await
     }
 
+    /// Whether the push may still begin: its op is in hand, not decided on, and it was not called off.
+    pub fn wants(&self, push: &Push) -> impl Fn() -> bool + Send + 'static {
+        let (desk, op, key) = (self.desk.clone(), push.op, (push.op, push.number));
+        move || {
+            let desk = locked(&desk);
+            let is_called_off = desk.called_off.get(&key).is_none_or(|flag| flag.raised);
+            !is_called_off && desk.ops.get(&op).is_some_and(|slot| !slot.is_decided())
+        }
+    }
+
     /// How a push ended. True where its answer is the op's final one; false also where that has been given.
     pub fn report(&self, now: At, push: Push, ending: Ending) -> bool {
         let Push { upstream, op, number, at } = push;
         let is_held = {
             let mut desk = locked(&self.desk);
             desk.called_off.remove(&(op, number));
-            // One whose final answer waits to be fetched has been decided on.
-            let decided = |slot: &Slot| slot.next.iter().any(|next| !matches!(next, Next::Push(_)));
-            desk.ops.get(&op).is_some_and(|slot| !decided(slot))
+            desk.ops.get(&op).is_some_and(|slot| !slot.is_decided())
         };
         let is_final = is_held && ending == Ending::Acked;
         let concluded = is_final || !is_held;
