See a client leave behind the ops that it sent in one go

At fault: heads.rs handed a whole next head to the library while an op was in hand; with bytes of it in its buffer the library looks no further, so the client's end was seen only when the op in hand was over: its push went on, and what came behind was begun for nobody. What follows an op is now held in heads.rs until that one is answered, up to 32 KiB, and an end behind it ends the connection and all that came on it. Behind more than that it is seen late, as before.

--- a/crates/balancer/src/heads.rs
+++ b/crates/balancer/src/heads.rs
@@ -16,6 +16,9 @@
 
 /// Larger than any head in use; what grows beyond it is read no further.
 pub const LARGEST_HEAD: usize = 16 << 10;
+/// So much of what follows an op is read before that one is answered: a client that sends many in one go, and leaves, is
+/// seen to leave. Behind more it is seen late.
+const MOST_AHEAD: usize = 2 * LARGEST_HEAD;
 const MOST_FIELDS: usize = 64;
 /// The length of an op in pieces, whose end only the library sees: nothing behind it is an op any more.
 const PIECES: usize = usize::MAX;
@@ -68,6 +71,16 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut into: ReadBufCursor) -> Poll<io::Result<()>> {
         let heads = self.get_mut();
         while heads.left == 0 {
+            // What follows an op is held until that one is answered: to the library it would hide the client's end.
+            if heads.client.owes_answer() {
+                if heads.held.len() >= MOST_AHEAD {
+                    return Poll::Pending;
+                }
+                if ready!(heads.poll_more(cx))? == 0 {
+                    return Poll::Ready(Ok(()));
+                }
+                continue;
+            }
             if !heads.held.is_empty() {
                 heads.client.begins();
             }
@@ -82,8 +95,6 @@
                         return Poll::Ready(Ok(()));
                     }
                 }
-                // To the library the connection ends here, and with it what it was to answer first.
-                Err(_) if heads.client.owes_answer() => return Poll::Pending,
                 Err(fault) => {
                     heads.client.turn_away(fault);
                     return Poll::Ready(Ok(()));
--- a/crates/program/tests/races.rs
+++ b/crates/program/tests/races.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use std::io::BufReader;
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -139,3 +139,72 @@
     let begun = shut.open();
     assert!(begun.is_none(), "{}", begun.unwrap().head);
 }
+
+/// Guards against ops for a client that has gone, and pushes that go on for it: its end lies behind the ops that it sent in
+/// the same go.
+#[test]
+fn a_client_that_leaves_behind_ops_in_one_go_has_left_for_all_of_them() {
+    let trace = Trace::default();
+    let balancer = start(&[line("a", upstream("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    client.buy("/hang", "1").get("/", "2").buy("/", "3");
+    trace.wait_for("A: POST /hang HTTP/1.1 id 1 body \"one\"");
+    drop(client);
+    trace.wait_for("A: given up true");
+    // Whatever was to come of the others would have come before this.
+    Client::new(&balancer).get("/", "4").answer(&trace);
+    trace.check(expect![[r#"
+        A: POST /hang HTTP/1.1 id 1 body "one"
+        A: given up true
+        A: GET / HTTP/1.1 id 4 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// The same while the answer passes: the rest of it is nobody's.
+#[test]
+fn a_client_that_leaves_in_the_middle_of_its_answer_has_left_for_what_it_sent_behind() {
+    let trace = Trace::default();
+    let of_upstream = trace.clone();
+    let a = listen(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut writer = stream;
+        let Some(op) = read_message(&mut reader) else { return };
+        of_upstream.line(&format!("A: {}", op.start()));
+        // As long as any, and its end never comes.
+        writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n").unwrap();
+        writer.write_all(&[b'x'; 100_000]).unwrap();
+        of_upstream.line(&format!("A: given up {}", reader.read(&mut [0]).is_ok_and(|read| read == 0)));
+    });
+    let balancer = start(&[line("a", a, "active")]);
+    let mut client = Client::new(&balancer);
+    client.get("/", "1").get("/behind", "2");
+    client.0.read_exact(&mut [0; 1000]).unwrap();
+    drop(client);
+    trace.wait_for("A: given up true");
+    trace.check(expect![[r#"
+        A: GET / HTTP/1.1
+        A: given up true
+    "#]]);
+}
+
+/// Ops in one go are answered in their order, also such whose bodies lie behind all that is read ahead.
+#[test]
+fn ops_in_one_go_are_answered_one_after_the_other() {
+    let trace = Trace::default();
+    let balancer = start(&[line("a", upstream("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    let large = "x".repeat(60_000);
+    client.get("/slow", "1");
+    client.send(&format!("POST /A/fail HTTP/1.1\r\n{}Content-Length: 60000\r\n\r\n{large}", fields("2", "buy")));
+    client.get("/", "3");
+    trace.wait_for("A: GET /slow HTTP/1.1 id 1 body \"\"");
+    trace.line("go on");
+    let answers = Trace::default();
+    (0..3).for_each(|_| client.answer(&answers));
+    answers.check(expect![[r#"
+        client: 200 "slow"
+        client: 502 "no answer, and it may have run"
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
