Take nothing over from other settings, name what a reload leaves, and see versions run back

Read, then shown by tests on processes in races.rs, red on: - What an older process had learned, and the state folder, were matched by the names of kinds, categories and tenants, or by the balancer's name alone: under other limits, effects or windows the kept list was pushed to. Now all settings have to be the same; a state of an earlier program does not say of what settings it is, and is not taken either (said by name). - SIGHUP with the file of another balancer moved discovery to that customer's servers. It is refused now, and what a file of the same balancer changes beside discovery is named as not followed until the next start. - After a service has started anew and counts versions from the beginning, changes since the lower version were asked for, and what had changed before was never heard. Such an answer is followed by a call for the whole list.

--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -105,13 +105,12 @@
         self.succeeded().is_some()
     }
 
-    /// Ids inside stand for the same things only where the same names do, and what was learned grows old.
+    /// Ids inside stand for the same things, and what was learned holds, only under the same settings; and it grows old.
     fn learned_head(&self, at: At) -> String {
-        let names = [&self.given.kinds, &self.given.categories, &self.given.tenants];
-        format!("{LEARNED} {:016x} {}\n", mix_text(&format!("{names:?}")), at.0)
+        format!("{LEARNED} {:016x} {}\n", self.given.settings, at.0)
     }
 
-    /// Goes on from what an elder left, unless it is of another form, of other names, or old.
+    /// Goes on from what an elder left, unless it is of another form, of other settings, or old.
     fn read_learned(&self, left: &str) -> Option<()> {
         let (head, learned) = left.split_once('\n')?;
         let at = At(head.rsplit_once(' ')?.1.parse().ok()?);
--- a/crates/balancer/src/given.rs
+++ b/crates/balancer/src/given.rs
@@ -8,6 +8,7 @@
 
 use doorproxy::facts::Facts;
 use doorproxy::ids::Span;
+use doorproxy::rng::mix_text;
 use doorproxy::terms::StartTerms;
 use serde::Deserialize;
 use serde_json::Value;
@@ -23,6 +24,8 @@
     pub seed: u64,
     pub sockets: usize,
     pub known: ListAnswer,
+    /// Stands for all settings: those of two files are the same where this is.
+    pub settings: u64,
     pub terms: StartTerms,
     pub categories: BTreeMap<String, u16>,
     pub tenants: BTreeMap<String, u16>,
@@ -113,6 +116,7 @@
         seed,
         sockets: file.limits.sockets,
         known: file.known,
+        settings: mix_text(&file.settings.to_string()),
         terms: facts.terms().map_err(expected)?,
         categories: places(names.categories.into_iter().map(|named| named.name)),
         tenants: places(names.projects.into_iter().map(|named| named.name)),
@@ -123,6 +127,20 @@
     })
 }
 
+impl Given {
+    /// What another file of this balancer says that holds from the next start on only, by the names that it has there.
+    pub fn not_followed(&self, newer: &Given) -> Vec<&'static str> {
+        let said = [
+            ("listen", self.listen != newer.listen),
+            ("control", self.control != newer.control),
+            ("seed", self.seed != newer.seed),
+            ("limits", self.sockets != newer.sockets),
+            ("settings", self.settings != newer.settings),
+        ];
+        said.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+}
+
 fn places(names: impl IntoIterator<Item = String>) -> BTreeMap<String, u16> {
     names.into_iter().zip(0..).collect()
 }
--- a/crates/balancer/src/keeping.rs
+++ b/crates/balancer/src/keeping.rs
@@ -121,6 +121,8 @@
 
 pub struct Keeping {
     name: String,
+    /// Stands for the settings under which it was learned.
+    settings: u64,
     every: Duration,
     outside: Arc<dyn Outside>,
     held: Mutex<Held>,
@@ -129,14 +131,14 @@
 impl Keeping {
     pub fn new<W: World>(
         world: &W,
-        name: &str,
+        (name, settings): (&str, u64),
         every: Duration,
         outside: Arc<dyn Outside>,
         left: Left,
     ) -> Arc<Keeping> {
         let heard = left.heard.clone();
         let held = Held { account: Account::new(world.now()), left, heard, version: 0 };
-        Arc::new(Keeping { name: name.to_string(), every, outside, held: Mutex::new(held) })
+        Arc::new(Keeping { name: name.to_string(), settings, every, outside, held: Mutex::new(held) })
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -219,7 +221,7 @@
                 heard,
                 version,
                 servers,
-                learned,
+                learned: form::of_settings(self.settings, &learned),
             });
         }
     }
--- a/crates/balancer/src/list.rs
+++ b/crates/balancer/src/list.rs
@@ -94,7 +94,10 @@
 
     /// The rows as the decisions read them, and where each upstream listens.
     pub fn rows(&mut self, answer: &ListAnswer) -> (Vec<Listing>, Vec<SocketAddr>) {
-        self.version = Some(answer.version);
+        // Guards against a service that has started anew and counts from the beginning: what it has to tell is no change of
+        // what is known here.
+        let runs_back = !answer.full && self.version.is_some_and(|known| answer.version < known);
+        self.version = (!runs_back).then_some(answer.version);
         answer.servers.iter().map(|line| (self.row(line), line.addr)).unzip()
     }
 
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -217,11 +217,12 @@
         let ask = asked_to_end()?;
         let world = Sockets::start();
         let (source, of_list) = watch::channel(given.discovery);
-        tokio::spawn(reload(world, config, reloads, source));
+        tokio::spawn(reload(world, config, given.clone(), reloads, source));
         let mut parts = whole::parts(&world, &given);
         if let Some(State { folder, every }) = &fleet.state {
-            let (outside, left) = state::begin(world, folder, &given.name)?;
-            parts.keeping = Some(Keeping::new(&world, &given.name, *every, outside, left));
+            let (outside, left) = state::begin(world, folder, (&given.name, given.settings))?;
+            let of = (given.name.as_str(), given.settings);
+            parts.keeping = Some(Keeping::new(&world, of, *every, outside, left));
         }
         let permits = fleet.leases.iter().flat_map(|leases| leases.permits.keys().cloned());
         parts.fellows = fleet.peers.as_ref().map(|_| Arc::new(Fellows::new(permits)));
@@ -318,14 +319,30 @@
     })
 }
 
-/// On SIGHUP the list is taken from where the file now says. All else holds until the next start: ops in hand
-/// were taken under it.
-async fn reload(world: Sockets, config: PathBuf, mut reloads: Signal, source: watch::Sender<SocketAddr>) {
+/// On SIGHUP the list is taken from where the file now says. All else holds until the next start, and is named where it
+/// differs: ops in hand were taken under it.
+async fn reload(
+    world: Sockets,
+    config: PathBuf,
+    given: Arc<Given>,
+    mut reloads: Signal,
+    source: watch::Sender<SocketAddr>,
+) {
     while reloads.recv().await.is_some() {
         match given::read(&config) {
-            Ok(given) => {
-                note!(world, "configuration read again: the list is at {}", given.discovery);
-                source.send_if_modified(|known| std::mem::replace(known, given.discovery) != given.discovery);
+            // Guards against ops of one customer at the servers of another.
+            Ok(newer) if newer.name != given.name => {
+                let (name, other) = (&given.name, &newer.name);
+                note!(world, "configuration kept as it was: the file is of {other:?}, and this is {name:?}");
+            }
+            Ok(newer) => {
+                let waits = given.not_followed(&newer);
+                let waits = match waits.is_empty() {
+                    true => String::new(),
+                    false => format!("; from the next start on, and not before: {}", waits.join(", ")),
+                };
+                note!(world, "configuration read again: the list is at {}{waits}", newer.discovery);
+                source.send_if_modified(|known| std::mem::replace(known, newer.discovery) != newer.discovery);
             }
             // Guards against a file that is being replaced, or was spoilt: the old one has served so far.
             Err(fault) => note!(world, "configuration kept as it was: {fault}"),
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -54,7 +54,11 @@
 
 /// What a process keeps, and what the last one left; the folder's state, whatever it is, never stops the start. All that
 /// touches the disk is done by the thread that writes: guards against a start that hangs as long as its disk.
-pub fn begin(world: Sockets, folder: &Path, balancer: &str) -> Result<(Arc<dyn Outside>, Left), String> {
+pub fn begin(
+    world: Sockets,
+    folder: &Path,
+    (balancer, settings): (&str, u64),
+) -> Result<(Arc<dyn Outside>, Left), String> {
     let (to_disk, states) = sync_channel::<State>(1);
     let (to_start, loaded) = sync_channel(1);
     let (mut folder, name) = (Folder::new(Files, folder), balancer.to_string());
@@ -78,6 +82,10 @@
     let thread = std::thread::Builder::new().name("state".to_string()).spawn(write);
     thread.map_err(|error| format!("the thread that keeps the state could not start: {error}"))?;
     let left = match loaded.recv_timeout(READ_WITHIN) {
+        Ok(Ok(state)) if !form::is_of(settings, &state.learned) => {
+            note!(world, "state: {}: it is not of these settings; it starts without", file.display());
+            Left::default()
+        }
         Ok(Ok(state)) => {
             note!(world, "state: {} servers of version {} are kept", state.servers.len(), state.version);
             Left::of(state, &now())
--- a/crates/program/tests/races.rs
+++ b/crates/program/tests/races.rs
@@ -6,6 +6,7 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -363,3 +364,138 @@
         Some(0)
     "#]]);
 }
+
+// What is told, and by whom.
+
+/// Answers the calls for the list in their order, by number and start line; one that it is told nothing for hangs.
+fn scripted(asked: &Trace, answer: impl Fn(u32) -> Option<Value> + Clone + Send + 'static) -> SocketAddr {
+    let (asked, calls) = (asked.clone(), Arc::new(Mutex::new(0)));
+    list_service(move |call| {
+        let number = {
+            let mut calls = calls.lock().unwrap();
+            *calls += 1;
+            *calls
+        };
+        asked.line(&format!("call {number}: {call}"));
+        answer(number).map(|answer| answer.to_string())
+    })
+}
+
+/// Guards against a service that hangs once and is not asked again in the time in which its news come to bind: a call that
+/// waits for nothing was given as long as a watch, which may be told to wait for minutes.
+#[test]
+fn a_call_that_hangs_is_given_up_soon_whatever_the_settings_let_a_watch_wait() {
+    let (trace, asked) = (Trace::default(), Trace::default());
+    let b = upstream("B", &trace);
+    let discovery = scripted(&asked, move |call| (call == 2).then(|| whole_list(&[line("b", b, "active")])));
+    let mut config = config(&[], discovery, 256);
+    config["settings"]["obligations"]["ask_within"] = json!(600.0);
+    let balancer = start_from(&config.to_string());
+    let began = Instant::now();
+    asked.wait_for("call 2: GET /api/targets HTTP/1.1");
+    // 2.2 s and a pause of 0.6 s at most; a busy machine may take its time, but not until a watch would be given up.
+    assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+    balancer.log.wait_for_beginnings("list: ", 1);
+    Client::new(&balancer).get("/", "1").answer(&trace);
+    trace.check(expect![[r#"
+        B: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// Guards against changes that are never heard: a service that has started anew counts versions from the beginning.
+#[test]
+fn a_version_that_runs_backwards_is_no_change_of_what_is_known() {
+    let (trace, asked) = (Trace::default(), Trace::default());
+    let (a, b) = (upstream("A", &trace), upstream("B", &trace));
+    let discovery = scripted(&asked, move |call| match call {
+        1 => Some(json!({"version": 41, "full": true, "servers": [line("a", a, "active")]})),
+        2 => Some(json!({"version": 3, "full": false, "servers": []})),
+        3 => Some(json!({"version": 3, "full": true, "servers": [line("b", b, "active")]})),
+        _ => None,
+    });
+    let balancer = start_with(&[], discovery, 256);
+    asked.wait_for("call 4: GET /api/targets?after=3&wait_ms=1000 HTTP/1.1");
+    Client::new(&balancer).get("/", "1").answer(&trace);
+    asked.check(expect![[r#"
+        call 1: GET /api/targets HTTP/1.1
+        call 2: GET /api/targets?after=41&wait_ms=1000 HTTP/1.1
+        call 3: GET /api/targets HTTP/1.1
+        call 4: GET /api/targets?after=3&wait_ms=1000 HTTP/1.1
+    "#]]);
+    trace.check(expect![[r#"
+        B: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// Guards against ops of one customer at the servers of another, and against a change that is taken for followed.
+#[test]
+fn a_file_of_another_balancer_is_refused_and_what_is_not_followed_is_named() {
+    let trace = Trace::default();
+    let (a, b) = (upstream("A", &trace), upstream("B", &trace));
+    let asked = Trace::default();
+    let elsewhere = scripted(&asked, move |call| (call == 1).then(|| whole_list(&[line("b", b, "active")])));
+    let known = [line("a", a, "active")];
+    let balancer = start(&known);
+    let mut newer = config(&known, elsewhere, 256);
+    newer["name"] = json!("n0-of-another");
+    std::fs::write(&balancer.config, newer.to_string()).unwrap();
+    balancer.signal("HUP");
+    balancer
+        .log
+        .wait_for("configuration kept as it was: the file is of \"n0-of-another\", and this is \"n0\"");
+    Client::new(&balancer).get("/", "1").answer(&trace);
+    newer["name"] = json!("n0");
+    newer["seed"] = json!("8");
+    newer["settings"]["limits"]["max_pushes"] = json!(2);
+    std::fs::write(&balancer.config, newer.to_string()).unwrap();
+    balancer.signal("HUP");
+    balancer.log.wait_for(&format!(
+        "configuration read again: the list is at {elsewhere}; from the next start on, and not before: seed, settings"
+    ));
+    asked.wait_for_beginnings("call 2: ", 1);
+    Client::new(&balancer).get("/", "2").answer(&trace);
+    trace.check(expect![[r#"
+        A: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+        B: GET / HTTP/1.1 id 2 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// Guards against a list and amounts of work that another deployment left under the same names.
+#[test]
+fn what_was_kept_under_other_settings_is_not_taken_over() {
+    let trace = Trace::default();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("races-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("fleet.toml");
+    let text = format!("[state]\nfolder = {:?}\nevery = \"100ms\"\n", folder.display().to_string());
+    std::fs::write(&file, text).unwrap();
+    let a = upstream("A", &trace);
+    let mut config = config(&[line("a", a, "active")], silent_service(), 256);
+    let first = start_with_fleet(&config.to_string(), Some(&file));
+    Client::new(&first).get("/", "1").answer(&trace);
+    until("a state", || folder.join("n0.state").exists());
+    drop(first);
+    // Nobody is known but by the folder.
+    config["known"] = whole_list(&[]);
+    let same = start_with_fleet(&config.to_string(), Some(&file));
+    Client::new(&same).get("/", "2").answer(&trace);
+    drop(same);
+    config["settings"]["categories"][1]["window"] = json!(1.0);
+    let other = start_with_fleet(&config.to_string(), Some(&file));
+    Client::new(&other).get("/", "3").answer(&trace);
+    other.log.wait_until("what is not taken", |log| {
+        log.contains("it is not of these settings; it starts without")
+    });
+    trace.check(expect![[r#"
+        A: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+        A: GET / HTTP/1.1 id 2 body ""
+        client: 200 "well", x-kept as it came
+        client: 503 "not now"
+    "#]]);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/recovery/src/form.rs
+++ b/crates/recovery/src/form.rs
@@ -125,6 +125,20 @@
     state.ok().filter(|state: &State| state.servers.len() <= MOST_SERVERS).ok_or(Fault::Spoilt)
 }
 
+const SETTINGS: &str = "settings ";
+
+/// Says first of what settings it was learned.
+pub fn of_settings(settings: u64, learned: &str) -> String {
+    format!("{SETTINGS}{settings:016x}\n{learned}")
+}
+
+/// Guards against a state of another deployment whose balancer, servers and classes have the same names. What an earlier
+/// program kept does not say, and is not taken either.
+pub fn is_of(settings: u64, learned: &str) -> bool {
+    let said = learned.lines().next().and_then(|line| line.strip_prefix(SETTINGS));
+    said.is_some_and(|said| said == format!("{settings:016x}"))
+}
+
 /// What of a learned text may go from one process to the next: what was sent, which counts against cold servers, but not to
 /// servers that have started anew or are known no more. What those bear (`borne`), and what was answered, from which that is
 /// reckoned, would lift a cold limit by old knowledge; floors carry no time and would echo from one restart to the next. Hints
