Hold the ramps of 1, 5, 30 and 300 balancers against what cold servers may get in all

Virtual time around the real decisions: ten servers of four cores, two or five of which start anew, at 0.45 to 0.9 of the fleet's capacity, everybody told at once. A fleet of 300 that were each told of 3 is found.

--- /dev/null
+++ b/tests/cold_fleet.rs
@@ -0,0 +1,247 @@
+//! Cold servers before fleets of 1 to 300 balancers, in virtual time: what all of them together send to each, held against what
+//! the settings allow it. The balancers are the real decisions; servers have cores and a queue, and nothing else.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::{Arc, Mutex};
+
+use common::{READ, server, terms};
+use doorproxy::host::{Ending, Host, Listing, OpArrival, PushEnd};
+use doorproxy::ids::*;
+use doorproxy::policy::Balancer;
+use doorproxy::rng::Pcg;
+use doorproxy::terms::StartTerms;
+
+const SERVERS: u32 = 10;
+const CORES: usize = 4;
+const MEAN_WORK: f64 = 0.05;
+const LEFT: f64 = 1.5;
+
+enum Act {
+    Push(OpId, UpstreamId),
+    Alarm(At, AlarmId),
+}
+
+/// What one balancer has asked for and was not given yet.
+#[derive(Clone, Default)]
+struct Asked(Arc<Mutex<Vec<Act>>>);
+
+impl Asked {
+    fn put(&self, act: Act) {
+        self.0.lock().expect("one thread to a test").push(act);
+    }
+}
+
+impl Host for Asked {
+    fn push(&mut self, op: OpId, upstream: UpstreamId) {
+        self.put(Act::Push(op, upstream));
+    }
+    fn cancel(&mut self, _: OpId, _: PushNo) {}
+    fn nack(&mut self, _: OpId, _: Option<Span>) {}
+    fn dead_letter(&mut self, _: OpId) {}
+    fn alarm(&mut self, at: At, alarm: AlarmId) {
+        self.put(Act::Alarm(at, alarm));
+    }
+    fn close_idle(&mut self, _: UpstreamId) {}
+    fn probe(&mut self, _: UpstreamId) {}
+    fn watch_list(&mut self) {}
+    fn log(&mut self, _: &str) {}
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives,
+    Rings(usize, AlarmId),
+    Ends { balancer: usize, op: u32, push: u16, upstream: u32, began: At, is_late: bool },
+}
+
+struct Fleet {
+    terms: StartTerms,
+    balancers: Vec<(Balancer<Asked>, Asked)>,
+    events: BinaryHeap<Reverse<(At, u64, Event)>>,
+    numbered: u64,
+    rng: Pcg,
+    /// When each core of a server is free.
+    free_at: BTreeMap<u32, [At; CORES]>,
+    cold_since: BTreeMap<u32, At>,
+    /// Work and pushes of each op.
+    ops: BTreeMap<u32, (f64, u16, At)>,
+    sent_to_cold: BTreeMap<u32, Vec<(At, f64)>>,
+    pushed: usize,
+}
+
+impl Fleet {
+    /// So many, and how many each of them is told that there are.
+    fn new(balancers: u32, told: u32) -> Fleet {
+        let terms = StartTerms { balancers: told, ..terms() };
+        let rows: Vec<Listing> = (1..=SERVERS).map(|id| server(id, 0)).collect();
+        let start = |ordinal: u32| {
+            let asked = Asked::default();
+            let terms = StartTerms { ordinal, ..terms.clone() };
+            let mut balancer = Balancer::new(u64::from(ordinal) * 7919 + 1, terms, asked.clone());
+            balancer.list_given(At(0), &rows);
+            (balancer, asked)
+        };
+        Fleet {
+            balancers: (0..balancers).map(start).collect(),
+            terms,
+            events: BinaryHeap::new(),
+            numbered: 0,
+            rng: Pcg::new(41),
+            free_at: (1..=SERVERS).map(|id| (id, [At(0); CORES])).collect(),
+            cold_since: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            sent_to_cold: BTreeMap::new(),
+            pushed: 0,
+        }
+    }
+
+    fn at(&mut self, at: At, event: Event) {
+        self.numbered += 1;
+        self.events.push(Reverse((at, self.numbered, event)));
+    }
+
+    /// These start anew, and everybody is told at once.
+    fn restart(&mut self, now: At, ids: std::ops::RangeInclusive<u32>) {
+        for id in ids.clone() {
+            self.cold_since.insert(id, now);
+            self.free_at.insert(id, [now; CORES]);
+        }
+        let rows: Vec<Listing> = ids.map(|id| Listing { up_since: Some(now), ..server(id, 0) }).collect();
+        for number in 0..self.balancers.len() {
+            self.balancers[number].0.list_changed(now, &rows);
+            self.carry_out(now, number);
+        }
+    }
+
+    fn share(&self, now: At, id: u32) -> f64 {
+        self.terms.cold.share(now, self.cold_since.get(&id).copied())
+    }
+
+    fn carry_out(&mut self, now: At, balancer: usize) {
+        let acts = std::mem::take(&mut *self.balancers[balancer].1.0.lock().expect("one thread to a test"));
+        for act in acts {
+            match act {
+                Act::Alarm(at, alarm) => self.at(at.max(now), Event::Rings(balancer, alarm)),
+                Act::Push(op, upstream) => self.push(now, balancer, op.0, upstream.0),
+            }
+        }
+    }
+
+    fn push(&mut self, now: At, balancer: usize, op: u32, upstream: u32) {
+        let share = self.share(now, upstream);
+        let (work, pushes, gives_up) = self.ops.get_mut(&op).expect("an op that came");
+        let (work, push, gives_up) = (*work, *pushes, *gives_up);
+        self.ops.get_mut(&op).expect("the same").1 += 1;
+        self.pushed += 1;
+        if share < 1.0 {
+            self.sent_to_cold.entry(upstream).or_default().push((now, work));
+        }
+        let cores = self.free_at.get_mut(&upstream).expect("a server");
+        let core = cores.iter_mut().min().expect("a core");
+        *core = (*core).max(now) + Span::from_secs(work / share);
+        let (done, is_late) = (*core, *core > gives_up);
+        let began = now;
+        let ends = Event::Ends { balancer, op, push, upstream, began, is_late };
+        self.at(done.min(gives_up), ends);
+    }
+
+    fn arrives(&mut self, now: At, op: u32) {
+        // Works of an exponential kind, as heavy at most as ten usual ones; hints are right.
+        let work = (-MEAN_WORK * (1.0 - self.rng.unit()).ln()).min(10.0 * MEAN_WORK);
+        let balancer =
+            ((self.rng.unit() * self.balancers.len() as f64) as usize).min(self.balancers.len() - 1);
+        self.ops.insert(op, (work, 0, now + Span::from_secs(LEFT)));
+        let arrival = OpArrival {
+            op: OpId(op),
+            key: Some(Key(u64::from(op))),
+            tenant: TenantId(0),
+            category: CategoryId(READ),
+            time_left: Span::from_secs(LEFT),
+            hint: Some(work),
+        };
+        self.balancers[balancer].0.op_arrived(now, arrival);
+        self.carry_out(now, balancer);
+    }
+
+    /// Plays until then; so much of the fleet's capacity is asked for.
+    fn play(&mut self, from: f64, until: f64, load: f64) {
+        let each_second = f64::from(SERVERS) * CORES as f64 * load / MEAN_WORK;
+        let until = At::from_secs(until);
+        self.at(At::from_secs(from), Event::Arrives);
+        while let Some(Reverse((now, number, event))) = self.events.pop() {
+            if now >= until {
+                self.events.push(Reverse((now, number, event)));
+                break;
+            }
+            match event {
+                Event::Arrives => {
+                    let gap = -(1.0 - self.rng.unit()).ln() / each_second;
+                    self.at(now + Span::from_secs(gap).max(Span(1)), Event::Arrives);
+                    self.arrives(now, number as u32);
+                }
+                Event::Rings(balancer, alarm) => {
+                    self.balancers[balancer].0.alarm_rang(now, alarm);
+                    self.carry_out(now, balancer);
+                }
+                Event::Ends { balancer, op, push, upstream, began, is_late } => {
+                    let ending = if is_late { Ending::TimedOut } else { Ending::Acked };
+                    let (op, push, upstream) = (OpId(op), PushNo(push), UpstreamId(upstream));
+                    let end = PushEnd { op, push, upstream, concluded: true, ending, took: now - began };
+                    self.balancers[balancer].0.push_ended(now, end);
+                    self.carry_out(now, balancer);
+                }
+            }
+        }
+        // What would have come next comes at its own time in the next part.
+        self.events.retain(|Reverse((.., event))| *event != Event::Arrives);
+    }
+
+    /// The most that any cold server got in a window, as a part of what the operators put down to the settings and to chance:
+    /// N requests of mean work, and 2 roots of N and 2 more.
+    fn fullest(&self) -> f64 {
+        let cold = &self.terms.cold;
+        let mut fullest: f64 = 0.0;
+        for (id, sent) in &self.sent_to_cold {
+            for (place, &(now, _)) in sent.iter().enumerate() {
+                let window = sent[..=place].iter().rev().take_while(|(at, _)| now - *at < cold.fall_window);
+                let got = window.map(|(_, work)| work).sum::<f64>() / MEAN_WORK;
+                let able = self.share(now, *id) * CORES as f64 * cold.fall_window.secs() / MEAN_WORK;
+                let allowed = cold.fall_multiple * able;
+                fullest = fullest.max(got / (allowed + 2.0 * allowed.sqrt() + 2.0));
+            }
+        }
+        fullest
+    }
+}
+
+/// Guards against parts that each balancer rounds up for itself: together they would push a cold server over. A release, the
+/// return of half of the fleet, and the same under a burst.
+#[test]
+fn cold_servers_get_no_more_than_they_may_from_1_to_300_balancers() {
+    for balancers in [1, 5, 30, 300] {
+        for (restarted, load, burst) in [(2, 0.6, 0.6), (5, 0.45, 0.45), (2, 0.6, 0.9), (5, 0.45, 0.7)] {
+            let mut fleet = Fleet::new(balancers, balancers);
+            fleet.play(0.0, 8.0, load);
+            fleet.restart(At::from_secs(8.0), 1..=restarted);
+            fleet.play(8.0, 20.0, burst);
+            let (fullest, sent) = (fleet.fullest(), fleet.sent_to_cold.values().map(Vec::len).sum::<usize>());
+            assert!(fullest <= 1.0, "{balancers} balancers, {restarted} cold at load {burst}: {fullest:.2}");
+            // Nobody would fall who gets nothing: they are put to use as they warm.
+            assert!(sent > 50, "{balancers} balancers, {restarted} cold at load {burst}: {sent} in 12 s");
+        }
+    }
+}
+
+/// The check can fail: three hundred that were each told of three push cold servers over.
+#[test]
+fn a_fleet_of_more_than_the_settings_say_is_found() {
+    let mut fleet = Fleet::new(300, 3);
+    fleet.play(0.0, 8.0, 0.6);
+    fleet.restart(At::from_secs(8.0), 1..=2);
+    fleet.play(8.0, 20.0, 0.9);
+    let fullest = fleet.fullest();
+    assert!(fullest > 1.0, "{fullest:.2}");
+}
