--- a/src/policy.rs
+++ b/src/policy.rs
@@ -209,7 +209,7 @@
     }
 
     pub fn list_call_failed(&mut self, now: At) {
-        // All call one small service after trouble: each at its own moment, sooner the first time, never so late
+        // All call one small service after trouble: each at its own moment, sooner at first, never so late
         // that it counts as told of what it cannot know; one that knows nobody, no longer than ops live.
         self.seen.list_failures += 1;
         let most = Asking::PAUSE.min(self.terms.ask_within.times(0.5));
