--- a/crates/program/tests/upgrade.rs
+++ b/crates/program/tests/upgrade.rs
@@ -262,3 +262,28 @@
     "#]]
     .assert_eq(&said);
 }
+
+/// Guards against a process that is told to end while it waits for the list, and goes on to serve in the old one's place.
+#[test]
+fn a_new_process_that_is_asked_to_end_before_it_serves_never_does() {
+    let trace = Trace::default();
+    let mut platform = Platform::new("ends", &[line("a", upstream("A", &trace), "active")]);
+    let (old, at_old) = platform.start();
+    // It waits for a list that never comes.
+    platform.config["discovery"] = json!(silent_service());
+    let mut new = platform.run("3", platform.listener.try_clone().unwrap().into());
+    let mut lines = BufReader::new(new.stderr.take().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.next().unwrap().starts_with("serving operators on"));
+    let stop = format!("kill -TERM {}", new.id());
+    assert!(Command::new("sh").arg("-c").arg(stop).status().unwrap().success());
+    let said: Vec<String> = lines.collect();
+    assert!(!said.iter().any(|line| line.starts_with("serving on")), "{said:?}");
+    assert!(said.iter().any(|line| line == "asked to end before it served"), "{said:?}");
+    assert_eq!(new.wait().unwrap().code(), Some(0));
+    assert_eq!(ask(at_old, "GET /_ready", ""), "200");
+    Client::new(&old).get("/", "1").answer(&trace);
+    trace.check(expect![[r#"
+        A: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
