--- a/src/ids.rs
+++ b/src/ids.rs
@@ -78,14 +78,6 @@
     }
 }
 
-impl Sub for Span {
-    type Output = Span;
-
-    fn sub(self, other: Span) -> Span {
-        Span(self.0.saturating_sub(other.0))
-    }
-}
-
 impl Add for Span {
     type Output = Span;
 
