Date ops by when they came, and see clients leave behind bytes that nobody reads

At fault: SETTLES in pulse.rs, which took what was read later than 0.2 s after a wakening for new. Ruled out: the stage (15 ms late at the worst), pushes under way. Now it is seen, and not guessed, that all that came before has been read: the runtime's thread had nothing left to do since it asked the system (Sockets::runtime), and until then nothing is dated later. gone.rs forces it: a process that is stopped again as soon as it says that it stood still pushed 300 of 300 such ops before, and none now. Read, then shown by gone.rs, each test red on: - An op behind another on its connection got its time from when its turn came: one of 400 ms was sent on after 400 ms. Heads now keep when what they hold was read, and an op's time counts from there. - A client that left behind more than 32 KiB of further ops, or behind a long body, was not seen to leave. While bytes are left unread behind an op in hand the system is asked every 30 ms whether the other side has ended.

--- a/crates/balancer/src/clients.rs
+++ b/crates/balancer/src/clients.rs
@@ -27,6 +27,8 @@
 
 /// What a connection that is to close may still take to flush its last answer.
 const LINGER: Span = Span(1000);
+/// How often it is seen whether a client has gone behind bytes that nobody reads.
+const BETWEEN_LOOKS: Span = Span(300);
 /// A connection that came so lately may be about to bring an op.
 const FRESH: Span = Span(2000);
 /// What a client still sends when it is turned away is read so far: closing over it would reset the connection,
@@ -40,13 +42,13 @@
     next: AtomicU64,
     open: Mutex<BTreeMap<u64, Arc<Connection<W>>>>,
     freed: Notify,
-    pulse: Mutex<Pulse>,
+    pulse: Arc<Mutex<Pulse>>,
 }
 
 impl<W: World> Clients<W> {
     pub fn new(world: W, sockets: usize) -> Arc<Clients<W>> {
         let (next, open, freed) = (AtomicU64::new(0), Mutex::default(), Notify::new());
-        let pulse = Mutex::new(Pulse::start(world.now()));
+        let pulse = Arc::new(Mutex::new(Pulse::start(world.now())));
         Arc::new(Clients { world, sockets: AtomicUsize::new(sockets), next, open, freed, pulse })
     }
 
@@ -104,21 +106,12 @@
         }
     }
 
-    fn pulse(&self) -> MutexGuard<'_, Pulse> {
-        self.pulse.lock().expect("no panic while it is held")
-    }
-
-    /// The earliest time at which what is read now can have come: from then on an op's time counts.
-    pub fn came(&self, now: At) -> At {
-        self.pulse().came(now)
-    }
-
     /// Guards against clients that ask once and keep their connection: the platform lets clients have a part of the
     /// sockets, so that the usual ones could open no more long before ours run out. It ticks the pulse as well.
     pub async fn keep(&self) {
         loop {
             self.world.sleep(duration(LINGER.times(0.5))).await;
-            let still = self.pulse().tick(self.world.now());
+            let still = self.pulse.lock().expect("no panic while it is held").tick(self.world.now());
             if let Some(still) = still {
                 note!(self.world, "this process stood still for {} ms", still.0 / 10);
             }
@@ -168,7 +161,7 @@
         if self.is_short() {
             self.close_idle(1);
         }
-        let client = Arc::new(Connection::new(self.world.clone()));
+        let client = Arc::new(Connection::new(self.world.clone(), self.pulse.clone()));
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         self.open().insert(number, client.clone());
         let (clients, router) = (self.clone(), router.clone());
@@ -211,12 +204,15 @@
             Stage::Coming(_) => true,
             Stage::Held | Stage::Answering(_) | Stage::Cut => false,
         };
+        let leaves = leaves_unseen(world, &*stream, client);
+        tokio::pin!(leaves);
         // How a client's connection ends is the client's affair: its ops have been seen to.
         loop {
             let due = client.due();
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => break,
+                () = leaves.as_mut() => break,
                 () = client.close.notified() => {
                     if comes() {
                         continue;
@@ -248,6 +244,20 @@
     part(world, &*stream, client).await;
 }
 
+/// Ends once the client has gone behind bytes that nobody reads while an op of its is in hand: guards against ops that go on,
+/// and others that begin, for nobody.
+async fn leaves_unseen<W: World>(world: &W, stream: &W::Stream, client: &Connection<W>) {
+    loop {
+        client.hides_end.notified().await;
+        while client.owes_answer() {
+            if stream.has_ended() {
+                return;
+            }
+            world.sleep(duration(BETWEEN_LOOKS)).await;
+        }
+    }
+}
+
 /// The last word on a connection that the library has let go of.
 async fn part<W: World>(world: &W, stream: &W::Stream, client: &Connection<W>) {
     if let Some((status, fault)) = client.fault() {
--- a/crates/balancer/src/connection.rs
+++ b/crates/balancer/src/connection.rs
@@ -2,12 +2,13 @@
 //! the connection's bytes.
 
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use axum::http::StatusCode;
 use doorproxy::ids::{At, Span};
 use tokio::sync::Notify;
 
+use crate::pulse::Pulse;
 use crate::streamed::LONGEST_SILENCE;
 use crate::world::World;
 
@@ -27,6 +28,7 @@
 /// One connection of a client.
 pub struct Connection<W> {
     world: W,
+    pulse: Arc<Mutex<Pulse>>,
     stage: Mutex<Stage>,
     /// The library has a head whose answer it has not been given yet.
     owes_answer: AtomicBool,
@@ -38,6 +40,8 @@
     /// When bytes came that had been waited for, in tenths of a millisecond.
     came_at: AtomicI64,
     pub close: Notify,
+    /// Bytes are left unread behind the op in hand: the client's end may lie behind them.
+    pub hides_end: Notify,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -87,11 +91,29 @@
 }
 
 impl<W: World> Connection<W> {
-    pub fn new(world: W) -> Connection<W> {
+    pub fn new(world: W, pulse: Arc<Mutex<Pulse>>) -> Connection<W> {
         let stage = Mutex::new(Stage::New(world.now()));
         let [owes_answer, is_last, is_cut_short] = [false; 3].map(AtomicBool::new);
         let (fault, came_at, close) = (Mutex::default(), AtomicI64::new(world.now().0), Notify::new());
-        Connection { world, stage, owes_answer, is_last, is_cut_short, fault, came_at, close }
+        let hides_end = Notify::new();
+        Connection {
+            world,
+            pulse,
+            stage,
+            owes_answer,
+            is_last,
+            is_cut_short,
+            fault,
+            came_at,
+            close,
+            hides_end,
+        }
+    }
+
+    /// The earliest time at which what is read now can have come.
+    pub fn reads(&self) -> At {
+        let mut pulse = self.pulse.lock().expect("no panic while it is held");
+        pulse.came(self.world.now(), self.world.caught_up())
     }
 
     pub fn now(&self) -> At {
@@ -132,21 +154,21 @@
         }
     }
 
-    /// Head and body have so many bytes.
-    pub fn head_came(&self, length: usize) {
-        self.came_at.store(self.world.now().0, Ordering::Relaxed);
+    /// Head and body have so many bytes, and what is read of them came at the latest then.
+    pub fn head_came(&self, length: usize, came: At) {
+        self.came_at.store(came.0, Ordering::Relaxed);
         self.arrives(|arrival| arrival.body = Some((0, length as u64)));
     }
 
     /// So many bytes of the op were handed on.
     pub fn came(&self, bytes: usize) {
-        let now = self.world.now();
+        let (now, came) = (self.world.now(), self.reads());
         self.arrives(|arrival| {
             let bytes = bytes as u64;
             arrival.body = arrival.body.map(|(came, left)| (came + bytes, left.saturating_sub(bytes)));
             if let Some(since) = arrival.waits_since.take() {
                 arrival.waited = arrival.waited + (now - since);
-                self.came_at.store(now.0, Ordering::Relaxed);
+                self.came_at.store(came.0, Ordering::Relaxed);
             }
         });
     }
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -309,7 +309,7 @@
     }
     // An op's time counts from its last byte.
     let now = front.world.now();
-    let gone = MARGIN + (now - front.clients.came(now));
+    let gone = MARGIN + (now - load.came(&client));
     new.time_left = Span((new.time_left.0 - gone.0).max(0));
     let (time_left, ends) = (new.time_left, now + new.time_left);
     let outgoing = Arc::new(Outgoing { head, load, time_left, ends });
--- a/crates/balancer/src/heads.rs
+++ b/crates/balancer/src/heads.rs
@@ -2,12 +2,14 @@
 //! could be read in two is turned away here. It owns the reading side of a client's connection. It must never pass
 //! on a byte of an op whose length is in doubt, or end a connection under an op in hand.
 
+use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use axum::http::StatusCode;
+use doorproxy::ids::At;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::connection::{Connection, Fault};
@@ -16,9 +18,11 @@
 
 /// Larger than any head in use; what grows beyond it is read no further.
 pub const LARGEST_HEAD: usize = 16 << 10;
-/// So much of what follows an op is read before that one is answered: a client that sends many in one go, and leaves, is
-/// seen to leave. Behind more it is seen late.
+/// So much of what follows an op is read before that one is answered. Behind more the system is asked whether the client is
+/// still there.
 const MOST_AHEAD: usize = 2 * LARGEST_HEAD;
+/// So many times are kept of when it was read; what comes in more pieces is dated by the earliest of the rest.
+const MOST_TIMES: usize = 64;
 const MOST_FIELDS: usize = 64;
 /// The length of an op in pieces, whose end only the library sees: nothing behind it is an op any more.
 const PIECES: usize = usize::MAX;
@@ -30,22 +34,43 @@
     client: Arc<Connection<W>>,
     /// Bytes that came and are not passed on yet: a head that is not whole, or what follows one.
     held: Vec<u8>,
+    /// How many bytes of it were read in one go, and the earliest time at which they can have come.
+    times: VecDeque<(usize, At)>,
     /// So many more bytes of what was looked at are passed on; then comes a head.
     left: usize,
 }
 
 impl<W: World> Heads<W> {
     pub fn new(stream: Arc<W::Stream>, client: Arc<Connection<W>>) -> Heads<W> {
-        Heads { stream, client, held: Vec::new(), left: 0 }
+        Heads { stream, client, held: Vec::new(), times: VecDeque::new(), left: 0 }
     }
 
     fn poll_more(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
         let mut bytes = [0; 4096];
         let read = ready!(self.stream.poll_take(cx, &mut bytes))?;
         self.held.extend_from_slice(&bytes[..read]);
+        let (came, is_full) = (self.client.reads(), self.times.len() >= MOST_TIMES);
+        match self.times.back_mut() {
+            Some((count, at)) if *at == came || is_full => *count += read,
+            _ => self.times.push_back((read, came)),
+        }
         Poll::Ready(Ok(read))
     }
 
+    /// When so many bytes of what is held had come.
+    fn came_by(&self, bytes: usize) -> At {
+        let mut sum = 0;
+        let covers = |&&(count, _): &&(usize, At)| {
+            sum += count;
+            sum >= bytes
+        };
+        self.times
+            .iter()
+            .find(covers)
+            .or(self.times.back())
+            .map_or_else(|| self.client.reads(), |(_, at)| *at)
+    }
+
     /// Straight on where nothing is held, and no more than the op still has: what follows it is a head.
     fn poll_through(&mut self, cx: &mut Context, into: &mut ReadBufCursor) -> Poll<io::Result<usize>> {
         let mut bytes = [0; 16 << 10];
@@ -59,9 +84,18 @@
         let passed = most.min(self.held.len()).min(into.remaining());
         into.put_slice(&self.held[..passed]);
         self.held.drain(..passed);
+        let mut left = passed;
+        while let Some((count, _)) = self.times.front_mut() {
+            let gone = left.min(*count);
+            (*count, left) = (*count - gone, left - gone);
+            if *count > 0 {
+                break;
+            }
+            self.times.pop_front();
+        }
         if self.held.is_empty() {
             // Most connections stand idle for most of the time, and their number times a buffer is what counts.
-            self.held = Vec::new();
+            (self.held, self.times) = (Vec::new(), VecDeque::new());
         }
         passed
     }
@@ -74,6 +108,7 @@
             // What follows an op is held until that one is answered: to the library it would hide the client's end.
             if heads.client.owes_answer() {
                 if heads.held.len() >= MOST_AHEAD {
+                    heads.client.hides_end.notify_one();
                     return Poll::Pending;
                 }
                 if ready!(heads.poll_more(cx))? == 0 {
@@ -86,7 +121,7 @@
             }
             match look_at(&heads.held) {
                 Ok(Some(length)) => {
-                    heads.client.head_came(length);
+                    heads.client.head_came(length, heads.came_by(length));
                     heads.client.begins_answer(length == PIECES);
                     heads.left = length;
                 }
--- a/crates/balancer/src/sockets.rs
+++ b/crates/balancer/src/sockets.rs
@@ -8,15 +8,18 @@
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{FromRawFd, RawFd};
 use std::path::Path;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use doorproxy::ids::At;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::runtime::Runtime;
 
 use crate::log;
 use crate::world::{Listener, Stream, World};
@@ -26,6 +29,15 @@
 pub struct Sockets {
     unix: Duration,
     start: Instant,
+    turns: &'static Turns,
+}
+
+/// The turns of the thread that serves: it asks the system what has come, does all of it, and asks again.
+#[derive(Default)]
+struct Turns {
+    asked: AtomicI64,
+    /// When it had asked for what it has done since.
+    done: AtomicI64,
 }
 
 impl Sockets {
@@ -33,8 +45,20 @@
         Sockets {
             unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
             start: Instant::now(),
+            // As long as the process lives, of which each has one world.
+            turns: Box::leak(Box::default()),
         }
     }
+
+    /// The runtime of one thread on which this world serves.
+    pub fn runtime(&self) -> io::Result<Runtime> {
+        let (world, turns) = (*self, self.turns);
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .on_thread_unpark(move || turns.asked.store(world.now().0, Ordering::Relaxed))
+            .on_thread_park(move || turns.done.store(turns.asked.load(Ordering::Relaxed), Ordering::Relaxed))
+            .build()
+    }
 }
 
 /// The socket that the platform holds for the clients, inherited under this number.
@@ -76,6 +100,10 @@
         Instant::now()
     }
 
+    fn caught_up(&self) -> At {
+        At(self.turns.done.load(Ordering::Relaxed))
+    }
+
     fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
         tokio::time::sleep(time)
     }
@@ -162,6 +190,13 @@
         let waiting = SockRef::from(self.0.inner()).peek(&mut [MaybeUninit::uninit()]);
         waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
+
+    fn has_ended(&self) -> bool {
+        // Told without a wait: what is unread keeps the connection ready.
+        let ready = pin!(self.0.inner().ready(Interest::READABLE));
+        let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
 }
 
 impl Read for Socket {
--- a/crates/balancer/src/world.rs
+++ b/crates/balancer/src/world.rs
@@ -22,6 +22,9 @@
     /// The same clock as libraries read it.
     fn instant(&self) -> Instant;
 
+    /// All that had come to this process by then has been read: it had nothing left to do, and asked for more.
+    fn caught_up(&self) -> At;
+
     fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static;
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static);
@@ -80,6 +83,9 @@
 
     /// Nothing waits to be read, no end and no fault either. The system is asked anew.
     fn is_quiet(&self) -> bool;
+
+    /// The other side has ended its sending, or the connection is broken, also where bytes lie unread before that.
+    fn has_ended(&self) -> bool;
 }
 
 pub trait Listener: Send + Sync + 'static {
--- a/crates/faults/src/net.rs
+++ b/crates/faults/src/net.rs
@@ -522,6 +522,14 @@
         })
     }
 
+    /// The other side ended its sending, or the connection is reset, also where bytes lie unread before that.
+    pub fn has_ended(&self, conn: u64, side: usize) -> bool {
+        self.net.conns.get(&conn).is_none_or(|found| {
+            let end = &found.ends[side];
+            end.has_end || end.is_reset
+        })
+    }
+
     /// When the bytes that are next to be read were sent, if any have come.
     pub fn next_sent_at(&self, conn: u64, side: usize) -> Option<Micros> {
         self.net.conns.get(&conn)?.ends[side].inbox.front().map(|piece| piece.sent_at)
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -79,6 +79,11 @@
         self.sim.instant()
     }
 
+    fn caught_up(&self) -> At {
+        // Whatever has come is read before time goes on.
+        self.now()
+    }
+
     fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
         let nap: Nap = self.sim.sleep(time.as_micros() as Micros);
         nap
@@ -221,6 +226,10 @@
     fn is_quiet(&self) -> bool {
         self.world.sim.state().is_quiet(self.conn, self.side)
     }
+
+    fn has_ended(&self) -> bool {
+        self.world.sim.state().has_ended(self.conn, self.side)
+    }
 }
 
 impl Drop for Wire {
--- a/crates/processes/src/bin/planted.rs
+++ b/crates/processes/src/bin/planted.rs
@@ -311,6 +311,10 @@
     fn is_quiet(&self) -> bool {
         self.socket.is_quiet()
     }
+
+    fn has_ended(&self) -> bool {
+        self.socket.has_ended()
+    }
 }
 
 impl Read for Wire {
@@ -357,6 +361,10 @@
         self.sockets.instant()
     }
 
+    fn caught_up(&self) -> At {
+        self.sockets.caught_up()
+    }
+
     fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
         self.sockets.sleep(time)
     }
@@ -403,11 +411,12 @@
             std::process::exit(101);
         });
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|error| error.to_string())?.block_on(async move {
+    let sockets = Sockets::start();
+    let runtime = sockets.runtime().map_err(|error| error.to_string())?;
+    runtime.block_on(async move {
         let mut asked = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
             .map_err(|error| error.to_string())?;
-        let world = Bent { sockets: Sockets::start(), inner };
+        let world = Bent { sockets, inner };
         // A port on which nobody listens: it never hears of a list but that which it was given.
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
         let (_source, of_list) = watch::channel(if plant == Plant::Deaf { nobody } else { given.discovery });
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -175,7 +175,9 @@
 }
 
 /// Plays a server on a runtime of one thread.
-fn on_runtime(serve: impl Future<Output = Result<(), String>>) -> Result<(), String> {
+fn on_runtime<F: Future<Output = Result<(), String>>>(
+    serve: impl FnOnce(Sockets) -> F,
+) -> Result<(), String> {
     // Guards against a balancer that runs on with decisions half made: restarted at once, it loses less. A log
     // that nobody reads any more is no reason to end.
     let print = std::panic::take_hook();
@@ -185,11 +187,9 @@
             std::process::exit(70);
         }
     }));
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| format!("the runtime could not start: {error}"))?;
-    let served = runtime.block_on(serve);
+    let world = Sockets::start();
+    let runtime = world.runtime().map_err(|error| format!("the runtime could not start: {error}"))?;
+    let served = runtime.block_on(serve(world));
     log::finish();
     served
 }
@@ -211,11 +211,10 @@
 
 fn serve(config: PathBuf, grace: Span, fleet: Fleet) -> Result<(), String> {
     let given = given::read(&config)?;
-    on_runtime(async move {
+    on_runtime(async move |world| {
         // Before anything else: unheeded, they end the process.
         let reloads = on(SignalKind::hangup())?;
         let ask = asked_to_end()?;
-        let world = Sockets::start();
         let (source, of_list) = watch::channel(given.discovery);
         tokio::spawn(reload(world, config, given.clone(), reloads, source));
         let mut parts = whole::parts(&world, &given);
@@ -300,10 +299,9 @@
 }
 
 fn sidecar(config: PathBuf, plan: Plan, seed: Option<u64>) -> Result<(), String> {
-    on_runtime(async move {
+    on_runtime(async move |world| {
         let mut reloads = on(SignalKind::hangup())?;
         let ask = asked_to_end()?;
-        let world = Sockets::start();
         let (newer, of_sidecar) = mpsc::channel(1);
         tokio::spawn(async move {
             while reloads.recv().await.is_some() {
--- a/crates/program/tests/common/mod.rs
+++ b/crates/program/tests/common/mod.rs
@@ -9,10 +9,11 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use expect_test::Expect;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// Longer than anything here takes: only a test that has failed waits for it.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -301,3 +302,53 @@
          Req-Deadline-Ms: 30000\r\n"
     )
 }
+
+/// Waits until the system says so; only a test that has failed waits in vain.
+pub fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < PATIENCE, "{what} never came");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// An upstream whose system lets nobody in: connections to it stay on their way up until it is opened.
+pub struct Shut {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    _before: TcpStream,
+}
+
+impl Shut {
+    pub fn new() -> Shut {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        // Room for one, and it is taken.
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        Shut { listener, address, _before: TcpStream::connect(address).unwrap() }
+    }
+
+    /// A connection to it has been begun, and the system has not let it in.
+    pub fn wait_for_a_dial(&self) {
+        // SYN_SENT, by the remote address as the system writes it.
+        let to = format!("0100007F:{:04X} 02", self.address.port());
+        until("a dial", || std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to));
+    }
+
+    /// Lets in who is waiting: what came on the first connection of the balancer.
+    pub fn open(self) -> Option<Message> {
+        drop(self.listener.accept().unwrap());
+        let (stream, _) = self.listener.accept().unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        read_message(&mut BufReader::new(stream))
+    }
+}
+
+/// A configuration whose dials may be late by far, with room for all clients of a test.
+pub fn patient(known: &[Value], discovery: SocketAddr) -> Value {
+    let mut config = config(known, discovery, 1024);
+    config["settings"]["limits"]["connect_timeout"] = json!(10.0);
+    config
+}
--- /dev/null
+++ b/crates/program/tests/gone.rs
@@ -0,0 +1,187 @@
+//! Clients that have gone, and ops whose time is over, where the balancer can't have seen it as it came: their end lies behind
+//! bytes that it does not read, it stood still, or another op on the connection came first. Each crossing is forced; verdicts
+//! come from what clients and upstreams saw.
+
+mod common;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+use expect_test::expect;
+
+/// How many bytes the other side of the connection has not read, as the system has it.
+fn unread(stream: &TcpStream) -> usize {
+    let hex = |at: std::net::SocketAddr| format!("0100007F:{:04X}", at.port());
+    let ways = format!("{} {}", hex(stream.peer_addr().unwrap()), hex(stream.local_addr().unwrap()));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let line = table.lines().find(|line| line.contains(&ways)).expect("the other side of the connection");
+    let queues = line.split_whitespace().nth(4).unwrap();
+    usize::from_str_radix(queues.split_once(':').unwrap().1, 16).unwrap()
+}
+
+/// The balancer has read of this client's going, or had the time to: what it reads later is answered.
+fn next_is_answered(balancer: &Balancer, trace: &Trace) {
+    Client::new(balancer).get("/", "next").answer(trace);
+}
+
+/// Guards against a push that goes on for nobody: more ops lie behind it than are read ahead, and the end behind them.
+#[test]
+fn a_client_that_leaves_behind_more_than_is_read_has_left() {
+    let trace = Trace::default();
+    let balancer = start(&[line("a", upstream("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    client.buy("/hang", "1");
+    trace.wait_for("A: POST /hang HTTP/1.1 id 1 body \"one\"");
+    for id in 2..1000 {
+        client.get("/", &id.to_string());
+    }
+    // Ended, and not closed: that is told by nothing but the bytes' end.
+    client.0.get_ref().shutdown(Shutdown::Write).unwrap();
+    trace.wait_for("A: given up true");
+    next_is_answered(&balancer, &trace);
+    trace.check(expect![[r#"
+        A: POST /hang HTTP/1.1 id 1 body "one"
+        A: given up true
+        A: GET / HTTP/1.1 id next body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// The same behind a long body, of which only the beginning is held until an upstream reads the rest. What the system itself
+/// has no room for stays with the client, and the end behind it.
+#[test]
+fn nothing_begins_for_a_client_that_left_behind_a_long_body() {
+    let shut = Shut::new();
+    let mut config = patient(&[line("a", shut.address, "active")], mute_service());
+    config["settings"]["limits"]["cancelling"] = serde_json::json!(false);
+    let balancer = start_from(&config.to_string());
+    let mut client = Client::new(&balancer);
+    let long = "x".repeat(100_000);
+    client.send(&format!("POST / HTTP/1.1\r\n{}Content-Length: 100000\r\n\r\n{long}", fields("1", "buy")));
+    shut.wait_for_a_dial();
+    client.0.get_ref().shutdown(Shutdown::Write).unwrap();
+    // The balancer ends its side as it sees that; the wait is for the system to tell.
+    let mut told = String::new();
+    let _ = client.0.read_to_string(&mut told);
+    assert_eq!(told, "");
+    let begun = shut.open();
+    assert!(begun.is_none(), "{}", begun.unwrap().head);
+}
+
+/// And while it goes on to an upstream that has stopped reading.
+#[test]
+fn a_long_body_stops_going_on_once_its_client_has_left() {
+    let trace = Trace::default();
+    let of_upstream = trace.clone();
+    let a = listen(move |mut stream| {
+        let mut head = [0; 1000];
+        stream.read_exact(&mut head).unwrap();
+        of_upstream.line("A: begun");
+        of_upstream.wait_for("go on");
+        let mut rest = Vec::new();
+        let read = stream.read_to_end(&mut rest);
+        of_upstream.line(&format!("A: came whole {}", read.is_ok() && rest.len() + head.len() > 30_000_000));
+    });
+    let balancer = start(&[line("a", a, "active")]);
+    let mut client = Client::new(&balancer);
+    client.send(&format!("POST / HTTP/1.1\r\n{}Content-Length: 30000000\r\n\r\n", fields("1", "buy")));
+    let stream = client.0.get_ref();
+    // Until the balancer itself can pass no more on and leaves it unread: the end is to lie behind that.
+    let mut writer = stream;
+    while unread(stream) == 0 {
+        writer.write_all(&[b'x'; 1 << 14]).unwrap();
+        let written = Instant::now();
+        while unread(stream) > 0 && written.elapsed() < Duration::from_millis(100) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    trace.wait_for("A: begun");
+    stream.shutdown(Shutdown::Write).unwrap();
+    // The upstream reads nothing until the balancer has let go of the client.
+    let mut told = String::new();
+    let _ = writer.read_to_string(&mut told);
+    assert_eq!(told, "");
+    trace.line("go on");
+    trace.wait_for("A: came whole false");
+}
+
+/// Guards against a time that is counted from when an op's turn comes, where its client counts from when it sent it.
+#[test]
+fn the_time_of_an_op_behind_another_counts_from_when_it_came() {
+    let trace = Trace::default();
+    let balancer = start(&[line("a", upstream("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    let brief = |id: &str, ms: &str| fields(id, "look").replace("30000", ms);
+    client.send(&format!(
+        "GET /slow HTTP/1.1\r\n{}\r\nGET / HTTP/1.1\r\n{}\r\nGET / HTTP/1.1\r\n{}\r\n",
+        fields("1", "look"),
+        brief("2", "400"),
+        fields("3", "look"),
+    ));
+    let sent = Instant::now();
+    trace.wait_for("A: GET /slow HTTP/1.1 id 1 body \"\"");
+    // What is to pass is the second one's time, and no test can make it pass sooner.
+    thread::sleep(Duration::from_millis(400).saturating_sub(sent.elapsed()));
+    trace.line("go on");
+    (0..3).for_each(|_| client.answer(&trace));
+    trace.check(expect![[r#"
+        A: GET /slow HTTP/1.1 id 1 body ""
+        go on
+        client: 200 "slow"
+        client: 503 "not now"
+        A: GET / HTTP/1.1 id 3 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
+
+/// Guards against ops that came to a stopped process and are dated later because reading them takes it long: it is stopped
+/// once more as soon as it has said that it stood still, for less than what it would notice.
+#[test]
+fn what_came_before_a_process_woke_is_old_however_long_it_takes_to_read() {
+    const OPS: usize = 300;
+    let trace = Trace::default();
+    let of_upstream = trace.clone();
+    let a = listen(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut writer = stream;
+        while let Some(op) = read_message(&mut reader) {
+            let id = op.field("req-id").unwrap_or("none");
+            of_upstream.line(&format!("A: {id}"));
+            let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let balancer = start_with(&[line("a", a, "active")], mute_service(), 2048);
+    let mut clients: Vec<Client> = (0..OPS).map(|_| Client::new(&balancer)).collect();
+    // Each has been accepted, and its connection is known.
+    for (id, client) in clients.iter_mut().enumerate() {
+        assert!(read_message(&mut client.get("/", &format!("first-{id}")).0).is_some());
+    }
+    balancer.signal("STOP");
+    let sent = Instant::now();
+    let body = "x".repeat(60_000);
+    for (id, client) in clients.iter_mut().enumerate() {
+        let fields = fields(&format!("late-{id}"), "buy").replace("30000", "900");
+        client.send(&format!("POST / HTTP/1.1\r\n{fields}Content-Length: 60000\r\n\r\n{body}"));
+    }
+    // All their time passes, from the last of them on.
+    let (all_sent, mut stops) = (sent.elapsed(), 0);
+    thread::sleep(Duration::from_millis(900));
+    balancer.signal("CONT");
+    balancer.log.wait_until("that it stood still", |log| log.contains("this process stood still"));
+    balancer.signal("STOP");
+    stops += 1;
+    thread::sleep(Duration::from_millis(300));
+    balancer.signal("CONT");
+    let answers: Vec<String> = clients
+        .iter_mut()
+        .map(|client| {
+            read_message(&mut client.0).map_or("none".to_string(), |answer| answer.start().to_string())
+        })
+        .collect();
+    let late = trace.0.0.lock().unwrap().lines().filter(|line| line.starts_with("A: late")).count();
+    let refused = answers.iter().filter(|answer| answer.contains("503")).count();
+    assert_eq!((late, refused), (0, OPS), "{stops} stops, sent within {all_sent:?}");
+}
--- a/crates/program/tests/races.rs
+++ b/crates/program/tests/races.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -14,57 +14,6 @@
 use common::*;
 use expect_test::expect;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
-
-/// Waits until the system says so; only a test that has failed waits in vain.
-fn until(what: &str, mut is_so: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !is_so() {
-        assert!(began.elapsed() < PATIENCE, "{what} never came");
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
-/// An upstream whose system lets nobody in: connections to it stay on their way up until it is opened.
-struct Shut {
-    listener: TcpListener,
-    address: SocketAddr,
-    _before: TcpStream,
-}
-
-impl Shut {
-    fn new() -> Shut {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        // Room for one, and it is taken.
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        Shut { listener, address, _before: TcpStream::connect(address).unwrap() }
-    }
-
-    /// A connection to it has been begun, and the system has not let it in.
-    fn wait_for_a_dial(&self) {
-        // SYN_SENT, by the remote address as the system writes it.
-        let to = format!("0100007F:{:04X} 02", self.address.port());
-        until("a dial", || std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to));
-    }
-
-    /// Lets in who is waiting: what came on the first connection of the balancer.
-    fn open(self) -> Option<Message> {
-        drop(self.listener.accept().unwrap());
-        let (stream, _) = self.listener.accept().unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        read_message(&mut BufReader::new(stream))
-    }
-}
-
-/// A configuration whose dials may be late by far, with room for all clients of a test.
-fn patient(known: &[Value], discovery: SocketAddr) -> Value {
-    let mut config = config(known, discovery, 1024);
-    config["settings"]["limits"]["connect_timeout"] = json!(10.0);
-    config
-}
 
 /// Guards against an upstream that goes on with work for a client that has long gone: the time that is told was reckoned as
 /// the push was decided on, and the connection came up late.
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -194,7 +194,7 @@
     load: Load,
 ) -> Response {
     let now = sidecar.world.now();
-    new.time_left = Span((new.time_left.0 - (now - sidecar.clients.came(now)).0).max(0));
+    new.time_left = Span((new.time_left.0 - (now - load.came(client)).0).max(0));
     let (time_left, ends) = (new.time_left, now + new.time_left);
     let outgoing = Arc::new(Outgoing { head, load, time_left, ends });
     let overdue = outgoing.load.over(&sidecar.world, ends + OVERDUE, time_left + OVERDUE);
