Ask for a repeat's window and group at its first byte, and read all that came before a wakening

Followed: pushes of n3 200 ms after it woke, of ops that waited to be accepted. At fault: Turns in sockets.rs took one turn of the runtime for all that had come; after a SIGCONT the first wait returns with nothing, a connection is accepted in the second turn and read in the third. Now what had come two turns ago counts as read, and a second standing still before that keeps the first one's beginning. Read, then shown: - A server that was replaced under its name kept the zone and cell of the one before: decisions.rs had a deduplicated op repeated outside the group in which it may have run (red before, dead-letter now). - A repeat's window was held against the decision, not against its first byte: Facade::wants asks the decisions once more. On sockets the dial's own limit ended such a push first in the one crossing that was tried, so it is shown at the facade only. - A sidecar ended with requests in its backlog; it looks there last, as the balancer does (sidecar.rs, reset before).

--- a/crates/balancer/src/pulse.rs
+++ b/crates/balancer/src/pulse.rs
@@ -24,7 +24,9 @@
     pub fn tick(&mut self, now: At) -> Option<Span> {
         let gap = now - self.ticked;
         if gap > STILL {
-            self.still = Some((self.ticked, now));
+            // What came before an earlier one may not have been read yet.
+            let fell = self.still.map_or(self.ticked, |(fell, _)| fell);
+            self.still = Some((fell, now));
         }
         self.ticked = now;
         (gap > STILL).then_some(gap)
--- a/crates/balancer/src/sockets.rs
+++ b/crates/balancer/src/sockets.rs
@@ -32,14 +32,23 @@
     turns: &'static Turns,
 }
 
-/// The turns of the thread that serves: it asks the system what has come, does all of it, and asks again.
+/// The turns of the thread that serves: it asks the system what has come, does all of it, and asks again. A connection that
+/// is accepted in one turn is read in the next.
 #[derive(Default)]
 struct Turns {
     asked: AtomicI64,
-    /// When it had asked for what it has done since.
+    asked_before: AtomicI64,
+    /// What had come by then has been accepted and read.
     done: AtomicI64,
 }
 
+impl Turns {
+    fn end(&self) {
+        let asked = self.asked.load(Ordering::Relaxed);
+        self.done.store(self.asked_before.swap(asked, Ordering::Relaxed), Ordering::Relaxed);
+    }
+}
+
 impl Sockets {
     pub fn start() -> Sockets {
         Sockets {
@@ -56,7 +65,7 @@
         tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .on_thread_unpark(move || turns.asked.store(world.now().0, Ordering::Relaxed))
-            .on_thread_park(move || turns.done.store(turns.asked.load(Ordering::Relaxed), Ordering::Relaxed))
+            .on_thread_park(move || turns.end())
             .build()
     }
 }
--- a/crates/balancer/src/upstreams.rs
+++ b/crates/balancer/src/upstreams.rs
@@ -203,7 +203,8 @@
                 Load::Streamed(_) => At(i64::MAX),
             };
             move || {
-                let may_begin = takes.load(Ordering::Relaxed) && is_wanted() && world.now() < ends;
+                let now = world.now();
+                let may_begin = takes.load(Ordering::Relaxed) && now < ends && is_wanted(now);
                 has_begun.store(may_begin, Ordering::Relaxed);
                 may_begin
             }
--- a/crates/program/tests/common/mod.rs
+++ b/crates/program/tests/common/mod.rs
@@ -340,7 +340,14 @@
     /// Lets in who is waiting: what came on the first connection of the balancer.
     pub fn open(self) -> Option<Message> {
         drop(self.listener.accept().unwrap());
-        let (stream, _) = self.listener.accept().unwrap();
+        self.listener.set_nonblocking(true).unwrap();
+        let mut accepted = None;
+        until("a connection", || {
+            accepted = self.listener.accept().ok();
+            accepted.is_some()
+        });
+        let (stream, _) = accepted.unwrap();
+        stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         read_message(&mut BufReader::new(stream))
     }
--- a/crates/program/tests/gone.rs
+++ b/crates/program/tests/gone.rs
@@ -91,6 +91,9 @@
     let stream = client.0.get_ref();
     // Until the balancer itself can pass no more on and leaves it unread: the end is to lie behind that.
     let mut writer = stream;
+    // So much is held before anything goes on.
+    writer.write_all(&[b'x'; 1 << 17]).unwrap();
+    trace.wait_for("A: begun");
     while unread(stream) == 0 {
         writer.write_all(&[b'x'; 1 << 14]).unwrap();
         let written = Instant::now();
@@ -98,7 +101,6 @@
             thread::sleep(Duration::from_millis(1));
         }
     }
-    trace.wait_for("A: begun");
     stream.shutdown(Shutdown::Write).unwrap();
     // The upstream reads nothing until the balancer has let go of the client.
     let mut told = String::new();
@@ -139,8 +141,7 @@
 
 /// Guards against ops that came to a stopped process and are dated later because reading them takes it long: it is stopped
 /// once more as soon as it has said that it stood still, for less than what it would notice.
-#[test]
-fn what_came_before_a_process_woke_is_old_however_long_it_takes_to_read() {
+fn what_came_before_a_process_woke(on_new_connections: bool) {
     const OPS: usize = 300;
     let trace = Trace::default();
     let of_upstream = trace.clone();
@@ -154,34 +155,44 @@
         }
     });
     let balancer = start_with(&[line("a", a, "active")], mute_service(), 2048);
-    let mut clients: Vec<Client> = (0..OPS).map(|_| Client::new(&balancer)).collect();
-    // Each has been accepted, and its connection is known.
-    for (id, client) in clients.iter_mut().enumerate() {
-        assert!(read_message(&mut client.get("/", &format!("first-{id}")).0).is_some());
+    let connect = || (0..OPS).map(|_| Client::new(&balancer)).collect::<Vec<_>>();
+    let mut clients = Vec::new();
+    if !on_new_connections {
+        clients = connect();
+        for (id, client) in clients.iter_mut().enumerate() {
+            assert!(read_message(&mut client.get("/", &format!("first-{id}")).0).is_some());
+        }
     }
     balancer.signal("STOP");
-    let sent = Instant::now();
+    if on_new_connections {
+        clients = connect();
+    }
     let body = "x".repeat(60_000);
     for (id, client) in clients.iter_mut().enumerate() {
         let fields = fields(&format!("late-{id}"), "buy").replace("30000", "900");
         client.send(&format!("POST / HTTP/1.1\r\n{fields}Content-Length: 60000\r\n\r\n{body}"));
     }
     // All their time passes, from the last of them on.
-    let (all_sent, mut stops) = (sent.elapsed(), 0);
     thread::sleep(Duration::from_millis(900));
     balancer.signal("CONT");
     balancer.log.wait_until("that it stood still", |log| log.contains("this process stood still"));
     balancer.signal("STOP");
-    stops += 1;
     thread::sleep(Duration::from_millis(300));
     balancer.signal("CONT");
-    let answers: Vec<String> = clients
-        .iter_mut()
-        .map(|client| {
-            read_message(&mut client.0).map_or("none".to_string(), |answer| answer.start().to_string())
-        })
-        .collect();
+    let answered = |client: &mut Client| read_message(&mut client.0).map(|answer| answer.start().to_string());
+    let answers: Vec<Option<String>> = clients.iter_mut().map(answered).collect();
     let late = trace.0.0.lock().unwrap().lines().filter(|line| line.starts_with("A: late")).count();
-    let refused = answers.iter().filter(|answer| answer.contains("503")).count();
-    assert_eq!((late, refused), (0, OPS), "{stops} stops, sent within {all_sent:?}");
+    let refused = answers.iter().flatten().filter(|answer| answer.contains("503")).count();
+    assert_eq!((late, refused), (0, OPS));
+}
+
+#[test]
+fn what_came_before_a_process_woke_is_old_however_long_it_takes_to_read() {
+    what_came_before_a_process_woke(false);
+}
+
+/// The same where nobody has accepted them yet: that takes a turn more.
+#[test]
+fn what_waits_to_be_accepted_as_a_process_wakes_is_as_old() {
+    what_came_before_a_process_woke(true);
 }
--- a/crates/program/tests/sidecar.rs
+++ b/crates/program/tests/sidecar.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use expect_test::expect;
 
@@ -150,6 +150,34 @@
     )
 }
 
+fn signal(sidecar: &Sidecar, name: &str) {
+    let kill = format!("kill -{name} {}", sidecar.0.id());
+    assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
+}
+
+/// Guards against a request that is lost with the socket on which it waits to be accepted: the last look finds no connection,
+/// and the process ends.
+#[test]
+fn who_waits_to_be_accepted_as_the_last_look_is_due_is_still_served() {
+    let trace = Trace::default();
+    let (mut sidecar, address) = start(&config([server(&trace), server(&trace)]), "backlog");
+    signal(&sidecar, "TERM");
+    let asked = Instant::now();
+    while sidecar.2.recv().unwrap() != "asked to end" {}
+    // Nothing but the time keeps it, and it stands still until that is over.
+    signal(&sidecar, "STOP");
+    let waits = thread::spawn(move || ask(address, "GET /quotes/fine HTTP/1.1\r\nHost: x\r\n\r\n"));
+    thread::sleep(Duration::from_millis(1500).saturating_sub(asked.elapsed()));
+    signal(&sidecar, "CONT");
+    let told = format!("{}\n{}{:?}\n", waits.join().unwrap(), trace.take(), sidecar.0.wait().unwrap().code());
+    expect![[r#"
+        HTTP/1.1 200 OK
+          a server got GET /quotes/fine HTTP/1.1 "", 1 via
+        Some(0)
+    "#]]
+    .assert_eq(&told);
+}
+
 #[test]
 fn an_application_gets_what_its_configuration_says() {
     let trace = Trace::default();
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -279,11 +279,12 @@
     let router = Router::new().fallback(op::<W>).with_state(sidecar.clone());
     let keeper = clients.clone();
     world.spawn(async move { keeper.keep().await });
-    for listener in listeners {
+    let listeners: Vec<Arc<W::Listener>> = listeners.into_iter().map(Arc::new).collect();
+    for listener in listeners.iter().cloned() {
         let (clients, router) = (clients.clone(), router.clone());
         world.spawn(async move {
             loop {
-                let stream = clients.accept(&listener).await;
+                let stream = clients.accept(&*listener).await;
                 clients.spawn(&router, stream);
             }
         });
@@ -306,7 +307,17 @@
     world.sleep_until(asked + grace.times(STILL_SERVING)).await;
     loop {
         let left = clients.count();
-        if left == 0 || world.now() >= asked + grace + PARTING {
+        let is_late = world.now() >= asked + grace + PARTING;
+        // Guards against a request on a connection that nobody has accepted yet: the system ends it with the socket.
+        let waits = || listeners.iter().find_map(|listener| listener.accept_waiting());
+        if left == 0
+            && !is_late
+            && let Some(stream) = waits()
+        {
+            clients.spawn(&router, stream);
+            continue;
+        }
+        if left == 0 || is_late {
             note!(world, "ended with {left} connections open");
             return Ok(());
         }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -309,13 +309,13 @@
         poll_fn(poll).await
     }
 
-    /// Whether the push may still begin: its op is in hand, not decided on, and it was not called off.
-    pub fn wants(&self, push: &Push) -> impl Fn() -> bool + Send + 'static {
-        let (desk, op, key) = (self.desk.clone(), push.op, (push.op, push.number));
-        move || {
-            let desk = locked(&desk);
-            let is_called_off = desk.called_off.get(&key).is_none_or(|flag| flag.raised);
-            !is_called_off && desk.ops.get(&op).is_some_and(|slot| !slot.is_decided())
+    /// Whether the push may still begin: it was not called off, and the decisions would have it begin.
+    pub fn wants(&self, push: &Push) -> impl Fn(At) -> bool + Send + 'static {
+        let (facade, op, number) = (self.clone(), push.op, push.number);
+        move |now| {
+            let flag = |desk: &Desk| desk.called_off.get(&(op, number)).is_none_or(|flag| flag.raised);
+            let is_called_off = flag(&locked(&facade.desk));
+            !is_called_off && locked(&facade.balancer).may_begin(now, op, number)
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -435,9 +435,7 @@
         let Some(&place) = self.places.get(&end.upstream) else { return };
         let server = &mut self.servers[place];
         server.probed_at = None;
-        if let Some(load) = end.load {
-            server.told_load = Some((now, load));
-        }
+        server.told_load = end.load.map(|load| (now, load)).or(server.told_load);
         self.ops.values_mut().filter(|op| op.asking == Some(place)).for_each(|op| op.again_at = now);
         self.serve_queue(now);
     }
@@ -473,7 +471,9 @@
         let has_room =
             !self.draws_whole() || self.load(now, server) < LEAST_LIMIT * open * self.cold_share(now, server);
         let is_open = server.is_ready() && is_new && has_room;
-        is_open && self.may_repeat_on(now, op, server) && self.bears(now, op, server)
+        // A repeat counts from when it goes out, which may be as late as a connection comes up.
+        let by = now + self.terms.connect_within;
+        is_open && self.may_repeat(by, op, &op.pushes, server) && self.bears(now, op, server)
     }
 
     fn may_try(&self, now: At, op: &Op, place: usize) -> bool {
@@ -502,24 +502,22 @@
 
     /// Guards against doing an effect twice: what may have run is repeated only where repeats are dropped,
     /// and only as long.
-    fn may_repeat_on(&self, now: At, op: &Op, server: &Server) -> bool {
+    fn may_repeat(&self, by: At, op: &Op, earlier: &[Push], server: &Server) -> bool {
         let repeats = self.terms.category(op.arrival.category).repeats;
-        op.pushes.iter().filter(|push| push.out || push.may_have_run).all(|push| match repeats {
+        earlier.iter().filter(|push| push.out || push.may_have_run).all(|push| match repeats {
             Repeats::Redeliverable => true,
             Repeats::AtMostOnce => false,
-            Repeats::Deduplicated { group, window } => {
-                let earlier = &self.servers[push.server];
-                let shares_group = match group {
-                    DedupGroup::All => true,
-                    DedupGroup::Zone => earlier.zone == server.zone,
-                    DedupGroup::Cell => earlier.cell == server.cell,
-                };
-                // A repeat counts from when it goes out, which may be as late as a connection comes up.
-                shares_group && now + self.terms.connect_within - push.at < window
-            }
+            Repeats::Deduplicated { group, window } => push.shares(group, server) && by - push.at < window,
         })
     }
 
+    /// Asked as its first byte is about to go: the op may be over, or its window, since it was decided on.
+    pub fn may_begin(&self, now: At, op: OpId, push: PushNo) -> bool {
+        let Some(op) = self.ops.get(&op) else { return false };
+        let (earlier, own) = op.pushes.split_at(op.pushes.len().min(usize::from(push.0)));
+        own.first().is_some_and(|own| self.may_repeat(now, op, earlier, &self.servers[own.server]))
+    }
+
     // Health.
 
     /// How long an op of this work may stay unanswered in this group before that means something.
@@ -691,8 +689,8 @@
         let usual_work = self.seen.usual_work();
         let state = self.ops.get_mut(&op).expect(HELD);
         state.queued = false;
-        state.pushes.push(Push { server: place, at: now, out: true, may_have_run: false });
         let server = &mut self.servers[place];
+        state.pushes.push(Push::at(now, place, server));
         server.is_open = true;
         server.in_flight += 1;
         server.owes_since.get_or_insert(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 use crate::ids::{At, CellId, KindId, Span, UpstreamId, ZoneId};
 use crate::rng::mix;
 use crate::samples::{Ring, Work};
+use crate::terms::DedupGroup;
 
 /// How one push ended, as evidence of its server.
 #[derive(Clone, Copy)]
@@ -232,11 +233,30 @@
 #[derive(Clone, Copy)]
 pub struct Push {
     pub server: usize,
+    /// Where that stood then: another may have its name by now.
+    zone: ZoneId,
+    cell: CellId,
     pub at: At,
     pub out: bool,
     pub may_have_run: bool,
 }
 
+impl Push {
+    pub fn at(now: At, place: usize, server: &Server) -> Push {
+        let Server { zone, cell, .. } = *server;
+        Push { server: place, zone, cell, at: now, out: true, may_have_run: false }
+    }
+
+    /// What ran by it is known at that server, which drops it there.
+    pub fn shares(&self, group: DedupGroup, server: &Server) -> bool {
+        match group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => self.zone == server.zone,
+            DedupGroup::Cell => self.cell == server.cell,
+        }
+    }
+}
+
 pub struct Op {
     pub arrival: OpArrival,
     pub work: f64,
@@ -312,6 +332,7 @@
     /// True where a new process answers by this name: it does so for itself, not for the failures of the old one.
     pub fn relisted(&mut self, now: At, row: &Listing) -> bool {
         (self.condition, self.size, self.dropped) = (row.condition, row.size, false);
+        (self.zone, self.cell) = (row.zone, row.cell);
         self.has_drained |= row.condition == Condition::Draining;
         let is_new = row.up_since > self.up_since;
         if is_new {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -118,6 +118,32 @@
     );
 }
 
+/// Guards against an effect done twice by a server that has another's name: one that was replaced may stand in another zone, and
+/// what ran before ran in the old one's.
+#[test]
+fn a_repeat_goes_by_the_zone_in_which_its_first_push_ran_and_by_where_servers_stand_now() {
+    let mut world = World::new(terms(), &one_kind(&[1, 2, 3, 4]));
+    let moved = |upstream, zone| Listing { zone: ZoneId(zone), ..server(upstream, 0) };
+    world.warm_up(20).op(1, TOP_UP, 1, 0.1).op(2, TOP_UP, 1, 0.1);
+    world.note("-- 4 is replaced by one in the other zone");
+    world.balancer.list_changed(world.now, &[moved(4, 1)]);
+    world.end(1, 0, 2, Ending::Error);
+    world.note("-- so is 1, and 3, where op 2 may have run");
+    world.balancer.list_changed(world.now, &[moved(1, 0), moved(3, 0)]);
+    world.end(2, 0, 3, Ending::Reset);
+    check(
+        &world,
+        expect![[r#"
+        op 1 of category 1 comes | push op 1 to 2
+        op 2 of category 1 comes | push op 2 to 3
+        -- 4 is replaced by one in the other zone
+        push 0 of op 1 ends at 2: Error | log: upstream 2 set aside for 163 ms: an error | dead-letter op 1
+        -- so is 1, and 3, where op 2 may have run
+        push 0 of op 2 ends at 3: Reset | push op 2 to 4
+    "#]],
+    );
+}
+
 #[test]
 fn what_a_wrong_list_drops_serves_on_while_it_answers_but_only_where_only_draining_binds() {
     let told = |only_draining_binds| {
@@ -1203,6 +1229,38 @@
     .assert_eq(&trace.text());
 }
 
+/// Guards against an effect done twice: the window passes, or a server is replaced, between the decision and the first byte.
+#[test]
+fn a_repeat_may_begin_only_while_its_window_lasts_and_where_its_server_still_shares_the_group() {
+    let trace = Trace::default();
+    let facade = facade(&trace);
+    facade.tick(At(0), News::Whole(&one_kind(&[10, 12, 14])));
+    let op = taken(&facade, At(0), TOP_UP);
+    let first = pushed(&facade, op);
+    let began = [At(0), At(14_000)].map(|at| facade.wants(&first)(at));
+    trace.line(format_args!("the first, where nothing may have run, early and late: {began:?}"));
+    facade.report(At(1_000), first, Ending::Reset);
+    let second = pushed(&facade, op);
+    let wants = facade.wants(&second);
+    trace.line(format_args!(
+        "the repeat within 1 s of the first, and then: {:?}",
+        [9_999, 10_000].map(At).map(&wants)
+    ));
+    let moved = Listing { zone: ZoneId(1), ..server(second.upstream.0, 0) };
+    facade.tick(At(5_000), News::Changes(&[moved]));
+    trace.line(format_args!("once another zone has its server: {}", wants(At(5_000))));
+    facade.report_gone(At(5_000), op);
+    trace.line(format_args!("once its client has gone: {}", wants(At(5_000))));
+    expect![[r#"
+        the first, where nothing may have run, early and late: [true, true]
+          log: upstream 14 set aside for 743 ms: its connection broke
+        the repeat within 1 s of the first, and then: [true, false]
+        once another zone has its server: false
+        once its client has gone: false
+    "#]]
+    .assert_eq(&trace.text());
+}
+
 #[test]
 fn the_facade_nacks_once_and_forgets_a_client_that_has_gone() {
     let trace = Trace::default();
