Count an op's time from when it came in one place, and mend two tests that a busy machine failed

An op's end is now when it came plus its time, for held and streamed bodies alike, so that what a body is need not be asked (Load::came goes); a streamed one that nobody has begun to send ends from when its head came, as before.

--- a/crates/balancer/src/connection.rs
+++ b/crates/balancer/src/connection.rs
@@ -173,11 +173,15 @@
         });
     }
 
-    /// When bytes last came that had been waited for, and whether more are waited for now. What came since was there
-    /// already, for all that is known.
+    /// When bytes last came that had been waited for. What came since was there already, for all that is known.
+    pub fn came_at(&self) -> At {
+        At(self.came_at.load(Ordering::Relaxed))
+    }
+
+    /// The same, and whether more are waited for now.
     pub fn pace(&self) -> (At, bool) {
         let waits = matches!(*self.stage(), Stage::Coming(arrival) if arrival.waits_since.is_some());
-        (At(self.came_at.load(Ordering::Relaxed)), waits)
+        (self.came_at(), waits)
     }
 
     /// More of the op was asked for, and is not there.
--- a/crates/balancer/src/front.rs
+++ b/crates/balancer/src/front.rs
@@ -308,10 +308,9 @@
         return (StatusCode::CONFLICT, format!("an op with this {ID} is in hand\n")).into_response();
     }
     // An op's time counts from its last byte.
-    let now = front.world.now();
-    let gone = MARGIN + (now - load.came(&client));
-    new.time_left = Span((new.time_left.0 - gone.0).max(0));
-    let (time_left, ends) = (new.time_left, now + new.time_left);
+    let (now, time_left) = (front.world.now(), Span((new.time_left.0 - MARGIN.0).max(0)));
+    let ends = client.came_at() + time_left;
+    new.time_left = Span((ends - now).0.max(0));
     let outgoing = Arc::new(Outgoing { head, load, time_left, ends });
     let overdue = outgoing.load.over(&front.world, ends + OVERDUE, time_left + OVERDUE);
     let out_of_grace = front.out_of_grace();
--- a/crates/balancer/src/streamed.rs
+++ b/crates/balancer/src/streamed.rs
@@ -42,15 +42,6 @@
 pub struct Passes;
 
 impl Load {
-    /// From when on the op's time counts, as far as that is known now.
-    pub fn came<W: World>(&self, client: &Connection<W>) -> At {
-        match self {
-            Load::Held(_) => client.pace().0,
-            // From its last byte on.
-            Load::Streamed(_) => client.now(),
-        }
-    }
-
     /// Ends when the op's time is over, which counts from its last byte.
     pub async fn over<W: World>(&self, world: &W, ends: At, time_left: Span) {
         let Load::Streamed(source) = self else { return world.sleep_until(ends).await };
--- a/crates/program/tests/deployed.rs
+++ b/crates/program/tests/deployed.rs
@@ -128,7 +128,13 @@
     let name = |task: std::path::PathBuf| {
         fs::read_to_string(task.join("comm")).unwrap_or_default().trim().to_string()
     };
-    let mut threads: Vec<String> = entries("task").map(name).collect();
+    // A thread has its process's name until it runs for the first time.
+    let is_own = |name: &&String| *name == "doorproxy";
+    let mut threads = Vec::new();
+    until("the names of all threads", || {
+        threads = entries("task").map(name).collect::<Vec<String>>();
+        threads.iter().filter(is_own).count() <= 1
+    });
     // The first three are the test's own.
     let own = entries("fd").filter(|link| !["0", "1", "2"].iter().any(|number| link.ends_with(number)));
     let links = own.filter_map(|link| fs::read_link(link).ok());
--- a/crates/program/tests/resets.rs
+++ b/crates/program/tests/resets.rs
@@ -100,8 +100,7 @@
     let (used, passed) = (cpu_ms(&balancer) - before, begun.elapsed().as_millis() as u64);
     assert!(used < passed / 2, "{used} ms of CPU in {passed} ms");
     news.line("up");
-    balancer.log.wait_until("B", |log| log.contains("is b at"));
-    // Idle ones are let go of for it, or it is turned away unread and comes again.
+    // The log leaves out lines where so many are written: what shows that the list was heard is an answer of B. Idle ones are let go of for it, or it is turned away unread and comes again.
     let answered = || {
         let mut client = Client::new(&balancer);
         let asked =
--- a/crates/sidecar/src/front.rs
+++ b/crates/sidecar/src/front.rs
@@ -193,9 +193,9 @@
     head: Parts,
     load: Load,
 ) -> Response {
-    let now = sidecar.world.now();
-    new.time_left = Span((new.time_left.0 - (now - load.came(client)).0).max(0));
-    let (time_left, ends) = (new.time_left, now + new.time_left);
+    let (now, time_left) = (sidecar.world.now(), new.time_left);
+    let ends = client.came_at() + time_left;
+    new.time_left = Span((ends - now).0.max(0));
     let outgoing = Arc::new(Outgoing { head, load, time_left, ends });
     let overdue = outgoing.load.over(&sidecar.world, ends + OVERDUE, time_left + OVERDUE);
     let facade = &pool.facade;
