--- a/crates/program/tests/gone.rs
+++ b/crates/program/tests/gone.rs
@@ -16,8 +16,14 @@
 fn unread(stream: &TcpStream) -> usize {
     let hex = |at: std::net::SocketAddr| format!("0100007F:{:04X}", at.port());
     let ways = format!("{} {}", hex(stream.peer_addr().unwrap()), hex(stream.local_addr().unwrap()));
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let line = table.lines().find(|line| line.contains(&ways)).expect("the other side of the connection");
+    // The table is no picture of one moment: read while others come and go it may leave out a line.
+    let mut found = None;
+    until("the other side of the connection", || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        found = table.lines().find(|line| line.contains(&ways)).map(str::to_string);
+        found.is_some()
+    });
+    let line = found.unwrap();
     let queues = line.split_whitespace().nth(4).unwrap();
     usize::from_str_radix(queues.split_once(':').unwrap().1, 16).unwrap()
 }
