Leave no folder behind, and keep the balancer's log in the record

Cause: a case left its temporary folder, and with it the only log of its balancer. The change moves the log into record.txt and removes the folder.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -151,5 +151,5 @@
 finally:
     balancer.end()
     record.write(text)
-    print(text)
+    print(text, flush=True)
 os._exit(code)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import queue
+import shutil
 import signal
 import socket
 import subprocess
@@ -364,6 +365,7 @@
     def __init__(self, record, discovery, upstreams, limits=None, control=False, accept_fd=None, name="n0",
                  settings=settings(), folder=None, listen=None):
         self.record = record
+        self.owns_folder = folder is None
         self.folder = folder or tempfile.mkdtemp(prefix="review-")
         self.address = listen or (HOST, free_port())
         self.control = (HOST, free_port()) if control else None
@@ -433,13 +435,21 @@
             return message.status, text.decode()
 
     def end(self):
+        """Ends the process, and keeps its log in the record."""
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
+        for line in self.log().splitlines():
+            self.record.add("log", line=line)
+        if self.owns_folder:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def log(self):
-        with open(self.log_path, errors="replace") as file:
-            return file.read()
+        try:
+            with open(self.log_path, errors="replace") as file:
+                return file.read()
+        except OSError:
+            return ""
 
 
 def request(request_id, kind, body=b"", deadline_ms=None, extra="", chunked=False, path="/api"):
