--- a/review/common_2.py
+++ b/review/common_2.py
@@ -77,6 +77,8 @@
     if not os.path.exists(PROGRAM):
         print("the build of the deploy file is missing")
         sys.exit(2)
+    # A run that is cut short ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     case = Case(folder)
     status = 2
     try:
