Log the requests that are open when a process ends

Cause: a sidecar that ended with an order on the way logged "stopped, 1 connections were still open", as it does for an idle connection. Nobody could tell a lost request from a client that had not closed.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -9,6 +9,7 @@
 mod handler;
 pub mod headers;
 pub mod lifecycle;
+pub mod open_requests;
 pub mod request_body;
 pub(crate) mod request_fields;
 pub mod request_head;
--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::http::connection::ClientConnection;
+use crate::http::open_requests::OpenRequests;
 use crate::http::serve_connection::serve_connection;
 use crate::log_line;
 use crate::runtime::stall_detector::StallDetector;
@@ -76,6 +77,22 @@
         self.connections().len()
     }
 
+    /// Returns the requests that are not finished.
+    pub fn open_requests(&self) -> OpenRequests {
+        OpenRequests::new(self.connections().values().filter_map(|client| client.open_request()).collect())
+    }
+
+    /// Logs how many connections are open as the process ends, and the requests on them.
+    pub fn log_stopped(&self) -> OpenRequests {
+        log_line!(self.runtime, "server: stopped, {} connections were still open", self.count());
+        let open_requests = self.open_requests();
+        if !open_requests.is_empty() {
+            let unanswered = open_requests.unanswered_count();
+            log_line!(self.runtime, "server: {unanswered} requests were lost: {open_requests}");
+        }
+        open_requests
+    }
+
     /// Asks all connections to close once they have no request, except those that were accepted just now.
     pub fn close_all(&self) {
         let now = self.runtime.now();
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -4,12 +4,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use axum::http::HeaderValue;
 use doorproxy::ids::{Ticks, Timestamp};
 use tokio::sync::Notify;
 
 use crate::http::STREAM_IDLE_TIMEOUT;
 use crate::http::connection_state::ConnectionState;
 use crate::http::framing::ClientError;
+use crate::http::open_requests::{OpenRequest, RequestPhase};
 use crate::metrics::InFlightGuard;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Runtime, TraceTopic};
@@ -43,6 +45,8 @@
     /// Whether a response was given before the last byte of its request had arrived.
     has_early_response: bool,
     client_error: Option<ClientError>,
+    /// Id header field of the current request.
+    request_id: Option<HeaderValue>,
     /// Counts the current request as in flight.
     in_flight: Option<InFlightGuard>,
     /// The latest response, until the HTTP library has written all of it.
@@ -100,6 +104,7 @@
             is_last_request: false,
             has_early_response: false,
             client_error: None,
+            request_id: None,
             in_flight: None,
             unwritten: None,
             last_received_at: now,
@@ -146,9 +151,30 @@
         }
         if let ConnectionState::Idle(since) = &mut inner.state {
             *since = now;
+            inner.request_id = None;
         }
     }
 
+    /// Records the id header field of a request whose head was read.
+    pub fn on_request_id(&self, id: Option<&HeaderValue>) {
+        self.inner().request_id = id.cloned();
+    }
+
+    /// Returns the request that is not finished, if there is one.
+    pub fn open_request(&self) -> Option<OpenRequest> {
+        let now = self.runtime.now();
+        let inner = self.inner();
+        let phase = match inner.state {
+            ConnectionState::AwaitingResponse => RequestPhase::AwaitingResponse,
+            ConnectionState::Responding(_) => RequestPhase::Responding,
+            _ if inner.is_writing(now) => RequestPhase::Responding,
+            ConnectionState::Receiving(_) => RequestPhase::Receiving,
+            _ => return None,
+        };
+        let age = now - inner.last_received_at;
+        Some(OpenRequest { connection: self.id, id: inner.request_id.clone(), phase, age })
+    }
+
     /// Counts the current request as in flight until its response is written or the connection ends.
     pub fn hold_in_flight(&self, in_flight: InFlightGuard) {
         self.inner().in_flight = Some(in_flight);
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -18,6 +18,7 @@
 use crate::http::connection::ClientConnection;
 use crate::http::connection_state::ConnectionState;
 use crate::http::framing::ClientError;
+use crate::http::request_fields::ID_HEADER;
 use crate::http::request_head::{HeadValidatingStream, MAX_HEAD_BYTES};
 use crate::http::response_body::IsStreaming;
 use crate::runtime::{Runtime, Stream, duration};
@@ -42,6 +43,7 @@
 ) {
     let stream = Arc::new(stream);
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
+        client.on_request_id(request.headers().get(ID_HEADER));
         request.extensions_mut().insert(client.clone());
         let response = router.clone().call(request.map(Body::new));
         async move { response.await.map(|response| finish_response(client, response)) }
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -273,7 +273,7 @@
         }
     }
     drop(listener);
-    log_line!(*runtime, "server: stopped, {} connections were still open", connections.count());
+    connections.log_stopped();
 }
 
 /// Starts the shutdown and returns the time of the next check, which is now.
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -172,7 +172,7 @@
             continue;
         }
         if open_connections == 0 || is_late {
-            log_line!(*runtime, "server: stopped, {open_connections} connections were still open");
+            connections.log_stopped();
             return;
         }
         connections.close_all();
