--- a/crates/balancer/tests/open_requests.rs
+++ b/crates/balancer/tests/open_requests.rs
@@ -48,6 +48,7 @@
     }
     tokio::time::sleep(Duration::from_millis(250)).await;
     assert!(streams[0].output().ends_with('x') && !streams.iter().any(TestStream::is_ended));
+    streams[5].close();
     let open = connections.open_requests();
     expect![[r#"3 lost: without a response on client connection 2, id "hangs", for 250 ms; without a response on client connection 3, for 250 ms; with part of a response on client connection 1, id "slow", for 250 ms; received in part on client connection 4, for 250 ms"#]]
     .assert_eq(&format!("{} lost: {open}", open.unanswered_count()));
