Answer every request that a sidecar has taken before it ends

Cause: nothing but its own time expired a request of a sidecar. dispatch took the end of the grace period as any future, and the sidecar passed pending(); it did not notify those that wait either. The grace period was also computed once, at the start, so that a reload to a longer ttl had the same effect.

Fix: dispatch takes the Lifecycle, whose shutdown request wakes all that wait, so a server that leaves either out does not compile. Balancer and sidecar run the same steps, advance_shutdown: at the end of the grace period they accept the backlog, close the listeners, reject what has not arrived whole; what comes later is rejected without an attempt. It exits 1 if a request has no response.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -17,6 +17,7 @@
 pub mod responses;
 mod serve_connection;
 pub mod server;
+pub mod shutdown;
 
 use doorproxy::ids::Ticks;
 
--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::http::connection::ClientConnection;
+use crate::http::lifecycle::Lifecycle;
 use crate::http::open_requests::OpenRequests;
 use crate::http::serve_connection::serve_connection;
 use crate::log_line;
@@ -82,9 +83,14 @@
         OpenRequests::new(self.connections().values().filter_map(|client| client.open_request()).collect())
     }
 
-    /// Logs how many connections are open as the process ends, and the requests on them.
-    pub fn log_stopped(&self) -> OpenRequests {
+    /// Logs how the shutdown ended: the number of connections that are open, of requests that were expired, and
+    /// the requests that are lost. Returns the requests that are open.
+    pub fn log_stopped(&self, lifecycle: &Lifecycle) -> OpenRequests {
         log_line!(self.runtime, "server: stopped, {} connections were still open", self.count());
+        let expired = lifecycle.expired_requests();
+        if expired > 0 {
+            log_line!(self.runtime, "server: {expired} requests were expired at the end of the grace period");
+        }
         let open_requests = self.open_requests();
         if !open_requests.is_empty() {
             let unanswered = open_requests.unanswered_count();
@@ -103,6 +109,11 @@
         }
     }
 
+    /// Rejects the requests of which only a part has arrived and which no attempt can have sent.
+    pub fn reject_incomplete(&self) {
+        self.connections().values().for_each(|client| client.reject_incomplete());
+    }
+
     /// Evicts up to `max_count` connections that are idle or receive a request too slowly, starting with
     /// those that never completed a request.
     pub fn close_idle(&self, max_count: usize) {
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Returns the number of the connection, unique in the process.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
     /// Writes a line to the trace of connections, if that is on.
     pub fn trace(&self, event: &str) {
         if self.runtime.traces(TraceTopic::Connections) {
@@ -334,9 +339,11 @@
         self.inner().client_error = Some(error);
     }
 
-    /// Takes the error that is to be sent to the client.
+    /// Takes the error that is to be sent to the client. A rejection that a response has overtaken is dropped.
     pub fn take_client_error(&self) -> Option<ClientError> {
-        self.inner().client_error.take()
+        let is_rejected = self.is_rejected();
+        let error = self.inner().client_error.take();
+        error.filter(|&error| is_rejected || error != ClientError::ShuttingDown)
     }
 
     /// Asks the connection to close so that another can be accepted.
@@ -346,6 +353,28 @@
         self.close_requested.notify_one();
     }
 
+    /// Rejects a request of which only a part has arrived and which no attempt can have sent, and asks the
+    /// connection to close. Does nothing otherwise.
+    pub fn reject_incomplete(&self) {
+        {
+            let mut inner = self.inner();
+            if !inner.state.is_receiving() || inner.in_flight.is_some() {
+                return;
+            }
+            inner.state = ConnectionState::Aborting;
+            inner.client_error = Some(ClientError::ShuttingDown);
+        }
+        self.trace("rejected before its request was whole");
+        self.close_requested.notify_one();
+    }
+
+    /// Returns whether the request was rejected by [`ClientConnection::reject_incomplete`], and the HTTP library
+    /// has not been given a response to it since.
+    pub fn is_rejected(&self) -> bool {
+        let inner = self.inner();
+        inner.client_error == Some(ClientError::ShuttingDown) && inner.state == ConnectionState::Aborting
+    }
+
     /// Returns the time at which the connection is closed unless it makes progress before.
     pub fn deadline(&self) -> Timestamp {
         let now = self.runtime.now();
--- a/crates/balancer/src/http/dispatch.rs
+++ b/crates/balancer/src/http/dispatch.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::http::connection::ClientConnection;
+use crate::http::lifecycle::Lifecycle;
 use crate::http::request_body::RequestBody;
 use crate::http::response_body::{ResponseBody, client_response};
 use crate::http::responses::{failed_response, rejected_response};
@@ -83,8 +84,9 @@
 /// Submits a request, makes the attempts that the dispatcher asks for, and returns the response for the
 /// client.
 ///
-/// `class` is the name under which a streamed response is counted. Once `grace_end` completes, the dispatcher
-/// expires the request. `on_response` may change the head of an endpoint's response.
+/// `class` is the name under which a streamed response is counted. At the end of the grace period of
+/// `lifecycle` the dispatcher expires the request; a request that comes later is rejected without an attempt.
+/// `on_response` may change the head of an endpoint's response.
 ///
 /// Dropping the future reports to the dispatcher that the client has disconnected.
 pub async fn dispatch<R: Runtime, U: UpstreamService<R>>(
@@ -93,13 +95,17 @@
     client: &Arc<ClientConnection<R>>,
     received: ReceivedRequest,
     class: &str,
-    grace_end: impl Future<Output = ()>,
+    lifecycle: &Lifecycle,
     on_response: impl Fn(&mut Response<ResponseBody>),
 ) -> Response {
     let now = runtime.now();
+    if lifecycle.is_past_grace_end(now) {
+        return rejected_response(None);
+    }
     let (request, outgoing) = received.split(client.last_received_at(), now);
     let outgoing = Arc::new(outgoing);
     let decision_timeout = wait_for_decision_deadline(runtime, &outgoing);
+    let grace_end = lifecycle.wait_for_grace_end(runtime);
     tokio::pin!(decision_timeout, grace_end);
     client.hold_in_flight(service.metrics().start_request());
     let dispatcher = service.dispatcher();
@@ -137,6 +143,13 @@
             }
             () = &mut grace_end, if !is_grace_over => {
                 is_grace_over = true;
+                let connection = client.id();
+                log_line!(
+                    *runtime,
+                    "server: grace period over, request expired: client connection {connection}, id {:?}",
+                    outgoing.id()
+                );
+                lifecycle.on_request_expired();
                 dispatcher.expire_now(runtime.now(), request_id);
             }
         }
--- a/crates/balancer/src/http/handler.rs
+++ b/crates/balancer/src/http/handler.rs
@@ -104,8 +104,7 @@
         Err(error) => return error.into_response(),
     };
     received.request.timeout = Ticks((received.request.timeout.0 - CLIENT_MARGIN.0).max(0));
-    let grace_end = server.lifecycle.wait_for_grace_end(&server.runtime);
-    dispatch(&server.runtime, server, client, received, class, grace_end, |_| {}).await
+    dispatch(&server.runtime, server, client, received, class, &server.lifecycle, |_| {}).await
 }
 
 /// Adds `Connection: close` if the connection will not be kept open.
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -1,6 +1,7 @@
 //! Serves one client connection from accept to close.
 
 use std::future::poll_fn;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -91,6 +92,9 @@
             _ = connection.as_mut() => return client.trace("ended by the HTTP library"),
             () = hidden_close.as_mut() => return client.trace("closed by the client"),
             () = client.close_requested.notified() => {
+                if client.is_rejected() {
+                    return;
+                }
                 if is_request_arriving(client, stream) {
                     continue;
                 }
@@ -148,9 +152,9 @@
 /// Sends the client its error, if any, and closes the connection without a reset.
 async fn close_connection<R: Runtime>(runtime: &R, stream: &R::Stream, client: &ClientConnection<R>) {
     if let Some(error) = client.take_client_error() {
-        // Nothing else was written for a while. If the send buffer is full, the client does not read anyway,
-        // so a partial write is ignored.
-        let _ = stream.try_send(error_response(error).as_bytes());
+        // If the send buffer stays full, the client does not read anyway.
+        let response = error_response(error);
+        let _ = runtime.timeout(duration(LINGER_TIME), send_all(stream, response.as_bytes())).await;
     }
     stream.shutdown_write();
     let (max_bytes, linger) = if client.has_early_response() {
@@ -161,6 +165,16 @@
     let _ = runtime.timeout(duration(linger), discard_input(stream, max_bytes)).await;
 }
 
+/// Writes all of the bytes, unless the connection is broken.
+async fn send_all<S: Stream>(stream: &S, mut bytes: &[u8]) {
+    while !bytes.is_empty() {
+        match poll_fn(|cx| stream.poll_send(cx, &[IoSlice::new(bytes)])).await {
+            Ok(written) => bytes = &bytes[written..],
+            Err(_) => return,
+        }
+    }
+}
+
 fn error_response(error: ClientError) -> String {
     let status = error.status();
     let body = format!("{error}\n");
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -22,7 +22,8 @@
 use crate::http::client_connections::ClientConnections;
 use crate::http::dispatch::UpstreamService;
 use crate::http::handler::{OpenRequestIds, handle_request, is_ready};
-use crate::http::lifecycle::Lifecycle;
+use crate::http::lifecycle::{Lifecycle, ShutdownTimes};
+use crate::http::shutdown::advance_shutdown;
 use crate::log_line;
 use crate::metrics::Metrics;
 use crate::runtime::{Listener, Runtime, duration};
@@ -91,7 +92,7 @@
             runtime,
             config,
             components,
-            lifecycle: Lifecycle::new(grace_period, MIN_SERVING_TIME),
+            lifecycle: Lifecycle::new(ShutdownTimes::with_grace_period(grace_period, MIN_SERVING_TIME)),
             connections,
             open_request_ids: OpenRequestIds::default(),
         })
@@ -256,24 +257,34 @@
 ) {
     let runtime = &server.runtime;
     let connections = &server.connections;
+    let mut listeners = vec![Arc::new(listener)];
     let mut next_check = runtime.now();
     loop {
+        let listener = listeners.first().cloned();
         tokio::select! {
             biased;
             () = &mut shutdown, if !server.lifecycle.is_draining() => next_check = on_shutdown(server),
             () = runtime.sleep_until(next_check) => {
                 next_check = runtime.now() + LIFECYCLE_CHECK_INTERVAL;
-                if check_lifecycle(server, router, &listener, siblings).is_break() {
+                if check_lifecycle(server, router, &mut listeners, siblings).is_break() {
                     break;
                 }
             }
-            stream = connections.accept(&listener), if !server.lifecycle.has_successor() => {
+            stream = accept(connections, listener.as_deref()), if !server.lifecycle.has_successor() => {
                 connections.spawn(router, stream);
             }
         }
     }
-    drop(listener);
-    connections.log_stopped();
+    drop(listeners);
+    connections.log_stopped(&server.lifecycle);
+}
+
+/// Accepts a connection. Never completes if there is no listener.
+async fn accept<R: Runtime>(connections: &ClientConnections<R>, listener: Option<&R::Listener>) -> R::Stream {
+    match listener {
+        Some(listener) => connections.accept(listener).await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Starts the shutdown and returns the time of the next check, which is now.
@@ -281,7 +292,6 @@
     server.components.readiness.set_ready(false);
     server.lifecycle.on_shutdown_requested(server.runtime.now());
     log_line!(server.runtime, "server: shutdown requested");
-    server.lifecycle.notify_shutdown();
     server.runtime.now()
 }
 
@@ -289,30 +299,11 @@
 fn check_lifecycle<R: Runtime>(
     server: &Server<R>,
     router: &Router,
-    listener: &R::Listener,
+    listeners: &mut Vec<Arc<R::Listener>>,
     siblings: Option<&dyn Siblings>,
 ) -> ControlFlow<()> {
     if let Some(siblings) = siblings {
         server.update_from_siblings(siblings);
     }
-    let now = server.runtime.now();
-    if !server.lifecycle.is_closing_idle(now) {
-        return ControlFlow::Continue(());
-    }
-    server.connections.close_all();
-    if server.lifecycle.is_past_final_flush(now) {
-        return ControlFlow::Break(());
-    }
-    if server.connections.count() > 0 {
-        return ControlFlow::Continue(());
-    }
-    // Connections left in the backlog are accepted here because the kernel resets them when the listener
-    // closes.
-    if !server.lifecycle.has_successor()
-        && let Some(stream) = listener.try_accept()
-    {
-        server.connections.spawn(router, stream);
-        return ControlFlow::Continue(());
-    }
-    ControlFlow::Break(())
+    advance_shutdown(&server.runtime, &server.lifecycle, &server.connections, router, listeners)
 }
--- a/crates/balancer/src/upstream/outgoing.rs
+++ b/crates/balancer/src/upstream/outgoing.rs
@@ -29,7 +29,7 @@
 
 impl OutgoingRequest {
     /// Returns the id of the request, as its client sent it.
-    pub(super) fn id(&self) -> &str {
+    pub fn id(&self) -> &str {
         header_text(&self.head.headers, &ID_HEADER).ok().flatten().unwrap_or_default()
     }
 
--- a/crates/cli/src/sidecar.rs
+++ b/crates/cli/src/sidecar.rs
@@ -8,6 +8,7 @@
 use doorproxy_balancer::runtime::Runtime;
 use doorproxy_balancer::runtime::system::SystemRuntime;
 use doorproxy_config::sidecar::SidecarConfig;
+use doorproxy_sidecar::SidecarError;
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::sync::mpsc;
 
@@ -57,7 +58,11 @@
 ) {
     while reload_signals.recv().await.is_some() {
         match sidecar_config::load_or_first_error(&config_path) {
-            Ok(config) => drop(reloaded.send(config).await),
+            Ok(config) => {
+                if reloaded.send(config).await.is_err() {
+                    log_line!(runtime, "config: not reloaded: {}", SidecarError::ShuttingDown);
+                }
+            }
             // The file may be only partly written; the old configuration stays in use.
             Err(error) => log_line!(runtime, "config: not reloaded: {error}"),
         }
--- a/crates/cli/tests/sidecar.rs
+++ b/crates/cli/tests/sidecar.rs
@@ -1,7 +1,7 @@
 //! Runs the program as a sidecar in front of test endpoints on free ports, and checks which answers an
 //! application gets and which requests the endpoints receive.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -79,6 +79,10 @@
                         "break" => return,
                         "gone" => "HTTP/1.1 404 Gone\r\nContent-Length: 4\r\n\r\nnone".to_string(),
                         "made" => "HTTP/1.1 201 Made\r\nContent-Length: 0\r\nX-Is: new\r\n\r\n".to_string(),
+                        // The last chunk is missing, and the connection stays open.
+                        "unfinished" => {
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n".to_string()
+                        }
                         "empty" => "HTTP/1.1 204 Empty\r\n\r\n".to_string(),
                         "ill" => "HTTP/1.1 500 Ill\r\nContent-Length: 0\r\n\r\n".to_string(),
                         _ => "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine".to_string(),
@@ -203,6 +207,87 @@
     .assert_eq(&report);
 }
 
+/// Waits for the endpoints to receive a request, which is in flight from then on.
+fn wait_for_request(trace: &Trace) {
+    while trace.requests.lock().unwrap().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends a request and reads until the connection ends.
+fn whole_connection(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+/// Returns the rest of the log and the exit code, once the process has ended by itself.
+fn wait_for_end(sidecar: &mut Sidecar) -> String {
+    let code = sidecar.process.wait().unwrap().code();
+    // These lines depend on how busy the machine is.
+    let is_expected = |line: &String| !line.contains("no CPU time") && !line.contains("expired");
+    let log: Vec<String> = sidecar.log.iter().filter(is_expected).collect();
+    format!("{}\nexit code {code:?}\n", log.join("\n"))
+}
+
+/// Prevents that a signal after the first one ends the process at once or changes its times, so that an order in
+/// flight is lost: each signal that an operator may send follows SIGTERM, SIGTERM itself among them.
+#[test]
+fn signals_after_sigterm_do_not_cut_an_order() {
+    let trace = Trace::default();
+    let (mut sidecar, address) = start(&config([test_endpoint(&trace), test_endpoint(&trace)]), "signals");
+    let order = "POST /report/slow HTTP/1.1\r\nHost: x\r\nReq-Id: o1\r\nContent-Length: 2\r\n\r\nhi";
+    let mut report = String::new();
+    signal(&sidecar, "TERM");
+    report += &format!("{}\n", sidecar.log.recv_timeout(TEST_TIMEOUT).unwrap());
+    let pending = thread::spawn(move || request_status_line(address, order));
+    wait_for_request(&trace);
+    for name in ["HUP", "TERM", "INT", "HUP"] {
+        signal(&sidecar, name);
+        if name == "HUP" {
+            report += &format!("{}\n", sidecar.log.recv_timeout(TEST_TIMEOUT).unwrap());
+        }
+    }
+    report += &format!("{}\n{}", pending.join().unwrap(), wait_for_end(&mut sidecar));
+    expect![[r#"
+        server: shutdown requested
+        config: not reloaded: the sidecar is shutting down
+        config: not reloaded: the sidecar is shutting down
+        HTTP/1.1 502 Bad Gateway
+        server: stopped, 0 connections were still open
+        exit code Some(0)
+    "#]]
+    .assert_eq(&report);
+}
+
+/// Prevents that an operator takes a lost response for an orderly end: the process ended with code 0 whatever was
+/// open. The endpoint stops within its response, which the sidecar can't finish.
+#[test]
+fn end_with_an_unfinished_response_is_an_error() {
+    let trace = Trace::default();
+    let (mut sidecar, address) = start(&config([test_endpoint(&trace), test_endpoint(&trace)]), "unfinished");
+    let order = "POST /report/unfinished HTTP/1.1\r\nHost: x\r\nReq-Id: o1\r\nContent-Length: 2\r\n\r\nhi";
+    let pending = thread::spawn(move || whole_connection(address, order));
+    wait_for_request(&trace);
+    signal(&sidecar, "TERM");
+    let end = wait_for_end(&mut sidecar);
+    let end: String = end.chars().filter(|c| !c.is_ascii_digit()).collect();
+    let answer = pending.join().unwrap();
+    let is_whole = answer.ends_with("0\r\n\r\n");
+    let report = format!("{}, whole: {is_whole}\n{end}", answer.lines().next().unwrap());
+    expect![[r#"
+        HTTP/1.1 200 OK, whole: false
+        server: shutdown requested
+        server: stopped,  connections were still open
+        server:  requests were lost: with part of a response on client connection , id "o", for  ms
+        doorproxy:  requests had no response when the sidecar stopped
+        exit code Some()
+    "#]]
+    .assert_eq(&report);
+}
+
 #[test]
 fn requests_follow_the_configured_routes() {
     let trace = Trace::default();
@@ -293,9 +378,7 @@
     };
     let slow =
         thread::spawn(move || request_status_line(address, "GET /quotes/slow HTTP/1.1\r\nHost: x\r\n\r\n"));
-    while trace.requests.lock().unwrap().is_empty() {
-        thread::sleep(Duration::from_millis(5));
-    }
+    wait_for_request(&trace);
     // The class and the route of the request in flight are gone, and its pool has another name.
     let new = old
         .replace("category.read", "category.look")
--- a/crates/sidecar/src/error.rs
+++ b/crates/sidecar/src/error.rs
@@ -30,4 +30,13 @@
     /// The new configuration changes a setting that only takes effect after a restart.
     #[error("listen and limits.sockets can't change in a reload; restart the sidecar")]
     RestartOnly,
+    /// The new configuration came after the shutdown request.
+    #[error("the sidecar is shutting down")]
+    ShuttingDown,
+    /// The process ended with requests that had arrived whole and had no whole response.
+    #[error("{count} requests had no response when the sidecar stopped")]
+    RequestsLost {
+        /// Holds the number of the requests.
+        count: usize,
+    },
 }
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -88,8 +88,7 @@
     let received = ReceivedRequest { request, head, body };
     let pool = &state.pools[route_match.pool];
     let on_response = |response: &mut axum::http::Response<_>| add_via(response.headers_mut(), &sidecar.via);
-    let grace_end = std::future::pending();
-    Ok(dispatch(&sidecar.runtime, pool, client, received, "", grace_end, on_response).await)
+    Ok(dispatch(&sidecar.runtime, pool, client, received, "", &sidecar.lifecycle, on_response).await)
 }
 
 /// Returns the value of a header field that occurs exactly once.
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -10,7 +10,8 @@
 use axum::response::Response;
 use doorproxy::ids::Ticks;
 use doorproxy_balancer::http::client_connections::ClientConnections;
-use doorproxy_balancer::http::lifecycle::Lifecycle;
+use doorproxy_balancer::http::lifecycle::{Lifecycle, ShutdownTimes};
+use doorproxy_balancer::http::shutdown::advance_shutdown;
 use doorproxy_balancer::http::{LISTEN_BACKLOG, SEND_BUFFER_BYTES};
 use doorproxy_balancer::log_line;
 use doorproxy_balancer::runtime::{Listener, Runtime};
@@ -35,7 +36,7 @@
     /// Holds the name in `Via` by which the sidecar recognizes requests that it has forwarded itself.
     pub(crate) via: String,
     pub(crate) connections: Arc<ClientConnections<R>>,
-    lifecycle: Lifecycle,
+    pub(crate) lifecycle: Lifecycle,
 }
 
 impl<R: Runtime> Sidecar<R> {
@@ -50,7 +51,9 @@
         if !has_equal_listeners || previous.config.limits.max_sockets != config.limits.max_sockets {
             return Err(SidecarError::RestartOnly);
         }
+        let shutdown_times = shutdown_times(&config);
         let state = start_pools(&self.runtime, config, self.seed, Some(&previous))?;
+        self.lifecycle.set_shutdown_times(shutdown_times);
         *lock(&self.state) = Arc::new(state);
         Ok(())
     }
@@ -69,7 +72,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the configuration can't be served.
+/// Fails if the configuration can't be served, or if requests had no response at the end.
 pub async fn serve<R: Runtime>(
     runtime: R,
     config: SidecarConfig,
@@ -87,8 +90,7 @@
     }
     tokio::pin!(shutdown);
     run_until_shutdown(&sidecar, reloads, shutdown).await;
-    drain(&sidecar, &router, &listeners).await;
-    Ok(())
+    drain(&sidecar, &router, listeners).await
 }
 
 fn listen<R: Runtime>(runtime: &R, config: &SidecarConfig) -> Result<Vec<Arc<R::Listener>>, SidecarError> {
@@ -106,28 +108,33 @@
     Ok(listeners)
 }
 
-fn new_sidecar<R: Runtime>(runtime: R, config: SidecarConfig, seed: u64) -> Result<Sidecar<R>, SidecarError> {
+/// Returns the time limits of a shutdown, which depend on the longest time that a new request may have.
+fn shutdown_times(config: &SidecarConfig) -> ShutdownTimes {
     let longest_timeout = config.classes.iter().map(|class| class.timeout).max().unwrap_or_default();
+    ShutdownTimes::for_longest_timeout(ticks(longest_timeout))
+}
+
+fn new_sidecar<R: Runtime>(runtime: R, config: SidecarConfig, seed: u64) -> Result<Sidecar<R>, SidecarError> {
+    let lifecycle = Lifecycle::new(shutdown_times(&config));
     let via = format!("doorproxy-{}", config.name.replace(|c: char| !c.is_ascii_alphanumeric(), "-"));
     let connections = ClientConnections::new(runtime.clone(), config.limits.max_sockets);
     let state = start_pools(&runtime, config, seed, None)?;
-    Ok(Sidecar {
-        runtime,
-        seed,
-        state: Mutex::new(Arc::new(state)),
-        via,
-        connections,
-        lifecycle: Lifecycle::new(ticks(longest_timeout), Ticks::ZERO),
-    })
+    Ok(Sidecar { runtime, seed, state: Mutex::new(Arc::new(state)), via, connections, lifecycle })
 }
 
-fn spawn_accept_loop<R: Runtime>(sidecar: &Sidecar<R>, router: &Router, listener: Arc<R::Listener>) {
-    let connections = sidecar.connections.clone();
+/// Accepts connections until the end of the grace period. [`drain`] accepts those that are in the backlog then.
+fn spawn_accept_loop<R: Runtime>(sidecar: &Arc<Sidecar<R>>, router: &Router, listener: Arc<R::Listener>) {
+    let sidecar = sidecar.clone();
     let router = router.clone();
-    sidecar.runtime.spawn(async move {
+    sidecar.runtime.clone().spawn(async move {
+        let grace_end = sidecar.lifecycle.wait_for_grace_end(&sidecar.runtime);
+        tokio::pin!(grace_end);
         loop {
-            let stream = connections.accept(&*listener).await;
-            connections.spawn(&router, stream);
+            tokio::select! {
+                biased;
+                () = &mut grace_end => return,
+                stream = sidecar.connections.accept(&*listener) => sidecar.connections.spawn(&router, stream),
+            }
         }
     });
 }
@@ -140,7 +147,13 @@
     loop {
         tokio::select! {
             biased;
-            () = &mut shutdown => return,
+            () = &mut shutdown => {
+                reloads.close();
+                if reloads.try_recv().is_ok() {
+                    log_line!(sidecar.runtime, "config: not reloaded: {}", SidecarError::ShuttingDown);
+                }
+                return;
+            }
             Some(config) = reloads.recv() => match sidecar.reload(config) {
                 Ok(()) => log_line!(sidecar.runtime, "config: reloaded"),
                 Err(error) => log_line!(sidecar.runtime, "config: not reloaded: {error}"),
@@ -151,31 +164,25 @@
 
 /// Serves clients for the serving part of the grace period, then closes the connections. Returns once all are
 /// closed or the time for the final flush is over.
-async fn drain<R: Runtime>(sidecar: &Sidecar<R>, router: &Router, listeners: &[Arc<R::Listener>]) {
-    let runtime = &sidecar.runtime;
-    let connections = &sidecar.connections;
+///
+/// # Errors
+///
+/// Fails if the clients of requests that had arrived whole got no whole response.
+async fn drain<R: Runtime>(
+    sidecar: &Sidecar<R>,
+    router: &Router,
+    mut listeners: Vec<Arc<R::Listener>>,
+) -> Result<(), SidecarError> {
+    let Sidecar { runtime, connections, lifecycle, .. } = sidecar;
     log_line!(*runtime, "server: shutdown requested");
     let requested_at = runtime.now();
-    sidecar.lifecycle.on_shutdown_requested(requested_at);
-    runtime.sleep_until(requested_at + sidecar.lifecycle.serving_time()).await;
-    loop {
-        let open_connections = connections.count();
-        let is_late = sidecar.lifecycle.is_past_final_flush(runtime.now());
-        // The system resets connections in the backlog when the listener is closed, so they are accepted
-        // first.
-        let accept_waiting = || listeners.iter().find_map(|listener| listener.try_accept());
-        if open_connections == 0
-            && !is_late
-            && let Some(stream) = accept_waiting()
-        {
-            connections.spawn(router, stream);
-            continue;
-        }
-        if open_connections == 0 || is_late {
-            connections.log_stopped();
-            return;
-        }
-        connections.close_all();
+    lifecycle.on_shutdown_requested(requested_at);
+    runtime.sleep_until(requested_at + lifecycle.serving_time()).await;
+    while advance_shutdown(runtime, lifecycle, connections, router, &mut listeners).is_continue() {
         runtime.sleep_until(runtime.now() + DRAIN_CHECK_INTERVAL).await;
     }
+    match connections.log_stopped(lifecycle).unanswered_count() {
+        0 => Ok(()),
+        count => Err(SidecarError::RequestsLost { count }),
+    }
 }
