Test the sidecar's routes where no read can be sent twice

Cause: requests_follow_the_configured_routes expects each read at the endpoints once, but a read whose response comes sooner than any before may be a late copy; while that is in doubt it is hedged at the other endpoint. Change: in this test there is one endpoint, which closes each connection after its response, so that there is neither another endpoint nor an earlier response on the connection. What is compared is the same, to the line.

--- a/crates/cli/tests/sidecar.rs
+++ b/crates/cli/tests/sidecar.rs
@@ -16,11 +16,13 @@
 /// Longer than any wait in these tests takes; reaching it fails the test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The requests that the endpoints received, and the flag that releases slow ones.
+/// The requests that the endpoints received, the flag that releases slow ones, and the flag that makes endpoints
+/// close each connection after its first response.
 #[derive(Clone, Default)]
 struct Trace {
     requests: Arc<Mutex<Vec<String>>>,
     slow_released: Arc<AtomicBool>,
+    closes_connections: Arc<AtomicBool>,
 }
 
 impl Trace {
@@ -91,7 +93,12 @@
                         Some((head, _)) if start.starts_with("HEAD") => format!("{head}\r\n\r\n"),
                         _ => answer,
                     };
-                    if writer.write_all(answer.as_bytes()).is_err() {
+                    let is_last = trace.closes_connections.load(Ordering::Relaxed);
+                    let answer = match answer.split_once("\r\n") {
+                        Some((status, rest)) if is_last => format!("{status}\r\nConnection: close\r\n{rest}"),
+                        _ => answer,
+                    };
+                    if writer.write_all(answer.as_bytes()).is_err() || is_last {
                         return;
                     }
                 }
@@ -291,7 +298,13 @@
 #[test]
 fn requests_follow_the_configured_routes() {
     let trace = Trace::default();
-    let (_sidecar, address) = start(&config([test_endpoint(&trace), test_endpoint(&trace)]), "routes");
+    // A read may be sent twice: hedged at another endpoint, or again while its response may be a late copy of an
+    // earlier one on the same connection. Neither is possible here.
+    trace.closes_connections.store(true, Ordering::Relaxed);
+    let unused = "127.0.0.1:1".parse().unwrap();
+    let config = config([test_endpoint(&trace), unused]);
+    let config = config.replace(r#", { name = "two", address = "127.0.0.1:1" }"#, "");
+    let (_sidecar, address) = start(&config, "routes");
     let mut report = String::new();
     for request in [
         "GET /quotes/fine HTTP/1.1\r\nHost: x\r\n\r\n",
