Read pipelined requests after the response before them, and close only when none waits

Callers saw: a client that sends a second request before it has the response to the first got no response to the second until something else happened on its connection; at the end of a process the connection closed with the second request unread.

Cause: input after a request is kept until the response is given, while the HTTP library is told that there is nothing to read. After the response it waits for input that has come already, and nothing wakes its task. Whether a request waits as a connection closes was asked of the system, which no longer has those bytes.

In the phases a read with 1 s sent at -0.1 s was answered 503 at 2.0 s.

Fix: the connection keeps the waker of the task whose input waits and wakes it once the response is written; while input waits it does not close, nor do responses announce the close. Balancer and sidecar share announce_close.

--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -3,6 +3,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::Waker;
 
 use axum::http::HeaderValue;
 use doorproxy::ids::{Ticks, Timestamp};
@@ -51,6 +52,8 @@
     in_flight: Option<InFlightGuard>,
     /// The latest response, until the HTTP library has written all of it.
     unwritten: Option<UnwrittenResponse>,
+    /// Wakes the reader of the input after the current request, of which some has arrived.
+    pipelined_input: Option<Waker>,
     /// Arrival time of the last bytes that had to be waited for.
     last_received_at: Timestamp,
 }
@@ -107,6 +110,7 @@
             request_id: None,
             in_flight: None,
             unwritten: None,
+            pipelined_input: None,
             last_received_at: now,
         };
         ClientConnection {
@@ -146,7 +150,7 @@
     }
 
     /// Records that the HTTP library has written everything that it has. The connection is idle only from then
-    /// on.
+    /// on, and the next request is read if it has arrived before.
     pub fn on_buffer_written(&self) {
         let now = self.runtime.now();
         let mut inner = self.inner();
@@ -158,6 +162,20 @@
             *since = now;
             inner.request_id = None;
         }
+        // The HTTP library would wait for input, though it has come already.
+        if let Some(reader) = &inner.pipelined_input {
+            reader.wake_by_ref();
+        }
+    }
+
+    /// Records that input after the current request has arrived, and which task reads it.
+    pub fn on_pipelined_input(&self, reader: &Waker) {
+        self.inner().pipelined_input = Some(reader.clone());
+    }
+
+    /// Returns whether input has arrived that is read after the response to the current request.
+    pub fn has_pipelined_input(&self) -> bool {
+        self.inner().pipelined_input.is_some()
     }
 
     /// Records the id header field of a request whose head was read.
@@ -231,6 +249,7 @@
     pub fn expect_response(&self, is_last: bool) {
         let mut inner = self.inner();
         inner.awaits_response = true;
+        inner.pipelined_input = None;
         inner.is_last_request |= is_last;
     }
 
--- a/crates/balancer/src/http/handler.rs
+++ b/crates/balancer/src/http/handler.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use axum::extract::{Extension, Request, State};
-use axum::http::{HeaderValue, Method, StatusCode, header};
+use axum::http::{Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use doorproxy::ids::Ticks;
 
@@ -15,7 +15,7 @@
 use crate::http::request_body::read_request_body;
 use crate::http::request_fields::{CLASS_HEADER, ID_HEADER, RequestError, header_text, parse_request};
 use crate::http::response_body::IsStreaming;
-use crate::http::responses::rejected_response;
+use crate::http::responses::{announce_close, rejected_response};
 use crate::http::server::Server;
 use crate::runtime::Runtime;
 use crate::sync::lock;
@@ -71,7 +71,7 @@
     if response.extensions().get::<IsStreaming>().is_none() {
         server.components.metrics.count_outcome(&class, response.status().into());
     }
-    finish_response(&server, response)
+    announce_close(&server.lifecycle, &server.connections, &client, response)
 }
 
 async fn read_request<R: Runtime>(
@@ -106,12 +106,3 @@
     received.request.timeout = Ticks((received.request.timeout.0 - CLIENT_MARGIN.0).max(0));
     dispatch(&server.runtime, server, client, received, class, &server.lifecycle, |_| {}).await
 }
-
-/// Adds `Connection: close` if the connection will not be kept open.
-fn finish_response<R: Runtime>(server: &Server<R>, mut response: Response) -> Response {
-    let is_closing = server.lifecycle.is_closing_idle(server.runtime.now());
-    if is_closing || server.lifecycle.has_successor() || server.connections.is_nearly_full() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
-}
--- a/crates/balancer/src/http/request_head.rs
+++ b/crates/balancer/src/http/request_head.rs
@@ -122,6 +122,9 @@
             // Input after a request is not passed to the HTTP library yet: with it in its buffer, the library
             // would not notice that the client closes the connection.
             if self.client.awaits_response() {
+                if !self.buffer.is_empty() {
+                    self.client.on_pipelined_input(cx.waker());
+                }
                 if self.buffer.len() >= MAX_PIPELINED_BYTES {
                     self.client.unread_input.notify_one();
                     return Poll::Pending;
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -123,9 +123,12 @@
     }
 }
 
-/// Returns whether a request has arrived or is arriving on a connection that is to close. This asks the
-/// operating system, since the runtime's view is older.
+/// Returns whether a request has arrived or is arriving on a connection that is to close, and its response has
+/// not started. This asks the operating system, since the runtime's view is older.
 fn is_request_arriving<R: Runtime>(client: &ClientConnection<R>, stream: &R::Stream) -> bool {
+    if client.has_pipelined_input() {
+        return true;
+    }
     match client.state() {
         ConnectionState::New(_) | ConnectionState::Idle(_) | ConnectionState::Closing => !stream.is_idle(),
         ConnectionState::Receiving(_) => true,
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -14,7 +14,7 @@
 use doorproxy_balancer::http::dispatch::{ReceivedRequest, dispatch};
 use doorproxy_balancer::http::headers::prepare_for_upstream;
 use doorproxy_balancer::http::request_body::read_request_body;
-use doorproxy_balancer::http::responses::rejected_response;
+use doorproxy_balancer::http::responses::{announce_close, rejected_response};
 use doorproxy_balancer::runtime::Runtime;
 use doorproxy_config::explain::RouteMatch;
 use doorproxy_config::sidecar::SidecarConfig;
@@ -65,7 +65,7 @@
     request: Request,
 ) -> Response {
     let response = respond(&sidecar, &client, request).await.unwrap_or_else(|error| error.into_response());
-    sidecar.finish_response(response)
+    announce_close(&sidecar.lifecycle, &sidecar.connections, &client, response)
 }
 
 async fn respond<R: Runtime>(
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -6,8 +6,6 @@
 use std::sync::{Arc, Mutex};
 
 use axum::Router;
-use axum::http::{HeaderValue, header};
-use axum::response::Response;
 use doorproxy::ids::Ticks;
 use doorproxy_balancer::http::client_connections::ClientConnections;
 use doorproxy_balancer::http::lifecycle::{Lifecycle, ShutdownTimes};
@@ -57,15 +55,6 @@
         *lock(&self.state) = Arc::new(state);
         Ok(())
     }
-
-    /// Adds `Connection: close` if the connection is closed after the response.
-    pub(crate) fn finish_response(&self, mut response: Response) -> Response {
-        let is_closing = self.lifecycle.is_closing_idle(self.runtime.now());
-        if is_closing || self.connections.is_nearly_full() {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
-    }
 }
 
 /// Serves until shutdown, and returns once all requests are answered. `reloads` delivers new configurations.
--- a/crates/simulation/tests/sidecar_shutdown.rs
+++ b/crates/simulation/tests/sidecar_shutdown.rs
@@ -322,6 +322,8 @@
         phase("read that is retried", 1, whole(look("break"))),
         phase("order with half a response", 1, whole(order("half"))),
         phase("second request", 2, vec![(0, look("fine")), (100, order("hang"))]),
+        phase("two pipelined reads", 2, whole(look("fine").repeat(2))),
+        phase("pipelined behind an order", 2, whole(order("hang") + &order("fine"))),
         phase("nothing, then an order", 1, vec![(0, String::new()), (100, order("hang"))]),
         phase("nothing at all", 0, whole(String::new())),
     ]
@@ -360,6 +362,8 @@
         read that is retried: 503 503 503 503 503 503 503 503 503 503 503 refused
         order with half a response: 502 502 502 502 502 502 502 502 502 502 502 refused
         second request: 200+502 200+502 200+502 200+502 200+502 200 200 200 200 200 200 refused
+        two pipelined reads: 200+200 200+200 200+200 200+200 200+200 200+200 200+200 200+200 200+200 200+200 200+200 refused
+        pipelined behind an order: 502+503 502+503 502+503 502+503 502+503 502+503 502+503 502+503 502+503 502+503 502+503 refused
         nothing, then an order: 502 502 502 502 502 502 502 502 502 502 503 refused
         nothing at all: closed closed closed closed closed closed closed closed closed closed closed refused
     "#]]
