Simulate sidecars that end while clients go on sending, and excuse no process that ended by itself

Clients chose another process 0.3 s after SIGTERM, 0.05 s before a request could be lost, and a request without a response was excused if its process was gone, whether it was killed or had ended by itself. The mutant unexpired-at-exit puts the fault back: the responses to requests that expire after the longest timeout are not sent.

--- a/crates/simulation/src/arguments.rs
+++ b/crates/simulation/src/arguments.rs
@@ -35,6 +35,9 @@
     /// run sidecars in place of balancers
     #[argh(switch)]
     pub sidecar: bool,
+    /// run sidecars that are asked to shut down while endpoints hang and clients go on sending
+    #[argh(switch)]
+    pub shutdown: bool,
     /// write the checksum and the number of each run's events to this file, one line per run
     #[argh(option)]
     pub sums: Option<PathBuf>,
@@ -50,6 +53,12 @@
     /// generate the script from this seed
     #[argh(option)]
     pub seed: Option<u64>,
+    /// generate it with sidecars in place of balancers
+    #[argh(switch)]
+    pub sidecar: bool,
+    /// generate it with sidecars that are asked to shut down
+    #[argh(switch)]
+    pub shutdown: bool,
     /// read the script from this file
     #[argh(option, long = "script")]
     pub scenario: Option<PathBuf>,
--- a/crates/simulation/src/client.rs
+++ b/crates/simulation/src/client.rs
@@ -89,7 +89,8 @@
 struct TryContext {
     /// True if the connection was opened for this request alone.
     is_fresh: bool,
-    is_balancer_alive: bool,
+    /// True if the balancer's process runs, or has ended by itself, so that every request has to be answered.
+    must_answer: bool,
     /// True if the balancer has read no byte of the request.
     is_unread: bool,
 }
@@ -220,7 +221,7 @@
             let process = connection.process;
             let bytes_before = connection.bytes_written;
             let result = self.exchange(&mut connection, &request).await;
-            let is_balancer_alive = self.context.is_alive(process);
+            let must_answer = self.context.is_alive(process) || self.context.has_ended(process);
             let is_unread = connection.bytes_read_by_peer() <= bytes_before;
             let outcome = match result {
                 Ok(outcome) => outcome,
@@ -231,7 +232,7 @@
                 is_resend = true;
                 continue;
             }
-            let state = TryContext { is_fresh, is_balancer_alive, is_unread };
+            let state = TryContext { is_fresh, must_answer, is_unread };
             self.conclude(rng, &request, connection, &outcome, &state).await;
             return Some(Exchange { outcome, process });
         }
@@ -276,13 +277,13 @@
                 records.record_truncated_response(kernel, request.id, *sent_at);
             }
             ExchangeOutcome::WriteFailed => self.count_outcome("connection closed during the request"),
-            ExchangeOutcome::ClosedUnread if state.is_balancer_alive => {
+            ExchangeOutcome::ClosedUnread if state.must_answer => {
                 self.report_lost(request.id, connection.process, false);
             }
-            ExchangeOutcome::ClosedAfterRead if state.is_balancer_alive => {
+            ExchangeOutcome::ClosedAfterRead if state.must_answer => {
                 self.report_lost(request.id, connection.process, true);
             }
-            ExchangeOutcome::TimedOut if state.is_balancer_alive => {
+            ExchangeOutcome::TimedOut if state.must_answer => {
                 if request.timeout < MIN_ANSWERABLE_TIMEOUT && state.is_unread {
                     self.count_outcome("expired in the backlog with a short timeout");
                 } else {
@@ -290,7 +291,7 @@
                 }
             }
             ExchangeOutcome::ClosedUnread | ExchangeOutcome::ClosedAfterRead | ExchangeOutcome::TimedOut => {
-                self.count_outcome("balancer exited before a response")
+                self.count_outcome("balancer was killed before a response")
             }
             ExchangeOutcome::Abandoned => self.abandon(rng, request.id, connection).await,
         }
--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -202,5 +202,8 @@
         killed_at: Vec::new(),
         down_count: 0,
         is_shutting_down: false,
+        shutdown_requested_at: None,
+        reload_sender: None,
+        ended_starts: Vec::new(),
     }
 }
--- a/crates/simulation/src/cluster/balancers.rs
+++ b/crates/simulation/src/cluster/balancers.rs
@@ -44,18 +44,15 @@
     }
 
     fn start_sidecar(self: &Arc<Cluster>, index: usize) {
-        let text = sidecar_config(&self.context, index);
-        let checked = doorproxy_config::check::check(&text, None);
-        let Some(plan) = checked.config else {
-            unreachable!("the sidecar file is valid: {:?}", checked.findings)
-        };
+        let config = sidecar_config(&self.context, index, 1.0);
         let StartingProcess { runtime, shutdown_requested, process } = self.new_process(index);
         let seed = process_seed(&self.context, index, process.start);
         let cluster = self.clone();
-        let (_reload_sender, reloads) = mpsc::channel(1);
+        let (reload_sender, reloads) = mpsc::channel(1);
+        self.context.state().balancers[index].reload_sender = Some(reload_sender);
         self.context.simulation.spawn(runtime.process, async move {
             let shutdown = async move { shutdown_requested.notified().await };
-            let served = doorproxy_sidecar::server::serve(runtime.clone(), plan, seed, reloads, shutdown);
+            let served = doorproxy_sidecar::server::serve(runtime.clone(), config, seed, reloads, shutdown);
             drop(served.await);
             cluster.schedule_after(0, move |cluster| cluster.on_balancer_ended(process));
         });
@@ -107,6 +104,7 @@
         balancer.runtime = Some(runtime.clone());
         balancer.shutdown_requested = Arc::default();
         balancer.is_shutting_down = false;
+        balancer.shutdown_requested_at = None;
         StartingProcess {
             runtime,
             shutdown_requested: balancer.shutdown_requested.clone(),
@@ -133,6 +131,7 @@
             let balancer = &mut state.balancers[process.balancer];
             balancer.in_rotation = false;
             balancer.dispatcher = None;
+            balancer.ended_starts.push(process.start);
             balancer.runtime.take()
         };
         self.kill_process(runtime);
@@ -202,8 +201,12 @@
                 return;
             }
             balancer.is_shutting_down = true;
+            balancer.shutdown_requested_at = Some(self.context.simulation.now());
             balancer.shutdown_requested.notify_one();
         }
+        if self.context.scenario.clients_stay {
+            return;
+        }
         let process = self.context.current_process(index);
         self.schedule_after(SHUTDOWN_ROTATION_LAG, move |cluster| {
             let mut state = cluster.context.state();
--- a/crates/simulation/src/cluster/config.rs
+++ b/crates/simulation/src/cluster/config.rs
@@ -4,6 +4,7 @@
 
 use doorproxy::rng::mix;
 use doorproxy_balancer::assembly;
+use doorproxy_config::sidecar::SidecarConfig;
 use serde_json::{Value, json};
 
 use crate::context::ClusterContext;
@@ -99,8 +100,18 @@
     vec![class(IDEMPOTENT_CLASS, "pure"), deduplicated, class(NON_IDEMPOTENT_CLASS, "side_effect")]
 }
 
-/// Builds the configuration file of a sidecar, with the same request classes and the current endpoints.
-pub(super) fn sidecar_config(context: &ClusterContext, index: usize) -> String {
+/// Builds the configuration of a sidecar, with the same request classes and the current endpoints. The timeouts
+/// are multiplied by a factor of at most 1.
+pub(super) fn sidecar_config(context: &ClusterContext, index: usize, timeout_factor: f64) -> SidecarConfig {
+    let text = sidecar_config_text(context, index, timeout_factor);
+    let checked = doorproxy_config::check::check(&text, None);
+    let Some(config) = checked.config else {
+        unreachable!("the sidecar file is valid: {:?}", checked.findings)
+    };
+    config
+}
+
+fn sidecar_config_text(context: &ClusterContext, index: usize, timeout_factor: f64) -> String {
     let state = context.state();
     let address = state.balancers[index].address;
     let mut text = format!("name = \"b{index}\"\nunrouted = \"not-found\"\n");
@@ -111,7 +122,7 @@
         context.scenario.socket_limit,
         millis(KEEPALIVE_TIMEOUT)
     );
-    text += &sidecar_categories(context);
+    text += &sidecar_categories(context, timeout_factor);
     text += "[pool.main]\nservers = [\n";
     for server in &state.servers {
         text += &sidecar_server(server);
@@ -123,7 +134,7 @@
     text
 }
 
-fn sidecar_categories(context: &ClusterContext) -> String {
+fn sidecar_categories(context: &ClusterContext, timeout_factor: f64) -> String {
     let scope = context.dedup_scope().name();
     let window = millis(DEDUP_WINDOW);
     let repeats = [
@@ -133,10 +144,9 @@
     ];
     let categories = REQUEST_CLASSES.iter().zip(repeats).map(|(class, repeats)| {
         let RequestClass { name, timeout, latency_objective_secs } = class;
-        let ttl = millis(*timeout);
-        format!(
-            "category.{name} = {{ {repeats}, ttl = \"{ttl}\", target = \"{latency_objective_secs}s\" }}\n"
-        )
+        let ttl = millis((*timeout as f64 * timeout_factor) as Micros);
+        let target = latency_objective_secs * timeout_factor;
+        format!("category.{name} = {{ {repeats}, ttl = \"{ttl}\", target = \"{target}s\" }}\n")
     });
     categories.collect()
 }
--- a/crates/simulation/src/cluster/faults.rs
+++ b/crates/simulation/src/cluster/faults.rs
@@ -71,6 +71,7 @@
             FaultKind::KillBalancer => self.kill_balancer_temporarily(fault),
             FaultKind::ShutDownBalancer => self.restart_balancer_gracefully(fault),
             FaultKind::MoveDiscovery => self.move_discovery(fault),
+            FaultKind::ReloadSidecar => self.reload_sidecar(fault),
             FaultKind::StarveBalancer => self.starve_balancer(fault),
             FaultKind::RequestStorm => self.send_storm(fault),
             FaultKind::SlowNetwork => self.slow_network(fault),
--- a/crates/simulation/src/cluster/faults/balancer_faults.rs
+++ b/crates/simulation/src/cluster/faults/balancer_faults.rs
@@ -4,6 +4,8 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::balancers::SHUTDOWN_GRACE;
+use crate::cluster::config::sidecar_config;
+use crate::request_class::longest_timeout;
 use crate::rule::Rule;
 use crate::scenario::Fault;
 use crate::time::{MS, Micros};
@@ -11,6 +13,9 @@
 /// The time after its grace period by which a balancer must have exited.
 const SHUTDOWN_MARGIN: Micros = 800 * MS;
 
+/// The time after the longest timeout at which the process may be killed.
+const KILL_MARGIN: Micros = 700 * MS;
+
 impl Cluster {
     pub(super) fn kill_balancer_temporarily(self: &Arc<Cluster>, fault: Fault) {
         let balancer = self.target_balancer(&fault);
@@ -23,7 +28,12 @@
         let balancer = self.target_balancer(&fault);
         self.request_shutdown(balancer);
         self.context.state().balancers[balancer].down_count += 1;
-        let delay = fault.duration.max(SHUTDOWN_GRACE + SHUTDOWN_MARGIN);
+        let limit = if self.context.scenario.clients_stay {
+            longest_timeout() + KILL_MARGIN
+        } else {
+            SHUTDOWN_GRACE + SHUTDOWN_MARGIN
+        };
+        let delay = fault.duration.max(limit);
         self.schedule_after(delay, move |cluster| {
             cluster.check_ended(balancer);
             cluster.restart_balancer(balancer);
@@ -44,6 +54,15 @@
         }
     }
 
+    /// Sends a sidecar a configuration with other timeouts. Does nothing to a balancer.
+    pub(super) fn reload_sidecar(self: &Arc<Cluster>, fault: Fault) {
+        let index = self.target_balancer(&fault);
+        let config = sidecar_config(&self.context, index, fault.magnitude);
+        if let Some(reload_sender) = &self.context.state().balancers[index].reload_sender {
+            let _ = reload_sender.try_send(config);
+        }
+    }
+
     /// Starves a balancer of CPU time.
     pub(super) fn starve_balancer(self: &Arc<Cluster>, fault: Fault) {
         let balancer = self.target_balancer(&fault);
--- a/crates/simulation/src/commands.rs
+++ b/crates/simulation/src/commands.rs
@@ -73,11 +73,19 @@
     let seeds = parse_seed_range(&arguments.seeds)?;
     let cores = || std::thread::available_parallelism().map_or(1, usize::from);
     let jobs = arguments.jobs.unwrap_or_else(cores).max(1);
-    let generate =
-        if arguments.sidecar { generator::generate_sidecar_scenario } else { generator::generate_scenario };
+    let generate = scenario_generator(arguments.sidecar, arguments.shutdown);
     Ok(SeedRuns { seeds, jobs, generate, mutant })
 }
 
+/// Returns the generator for balancers, for sidecars, or for sidecars that are asked to shut down.
+fn scenario_generator(uses_sidecar: bool, is_shutdown: bool) -> fn(u64) -> Scenario {
+    match (uses_sidecar, is_shutdown) {
+        (_, true) => generator::generate_shutdown_scenario,
+        (true, false) => generator::generate_sidecar_scenario,
+        (false, false) => generator::generate_scenario,
+    }
+}
+
 fn find_violations<'a>(runs: &SeedRuns, reports: &'a BTreeMap<u64, RunReport>) -> Vec<Finding<'a>> {
     let findings = reports.iter().filter(|(_, report)| runs.is_finding(report));
     let with_violation = findings.filter_map(|(seed, report)| Some((*seed, report.violation.as_ref()?)));
@@ -130,7 +138,8 @@
 
 /// Runs one scenario and prints it with its result, preceded by its trace if `--trace` is given.
 pub fn replay(arguments: &ReplayArguments) -> Result<Verdict, CliError> {
-    let scenario = load_scenario(arguments.seed, arguments.scenario.as_deref())?;
+    let generate = scenario_generator(arguments.sidecar, arguments.shutdown);
+    let scenario = load_scenario(arguments.seed, generate, arguments.scenario.as_deref())?;
     let mutant = parse_mutant(arguments.mutant.as_deref())?;
     let report = run_scenario(&scenario, mutant, arguments.trace);
     print!("{}{scenario}", report.trace);
@@ -157,7 +166,8 @@
 /// Writes the smallest scenario found that breaks the same rule as the given one.
 pub fn shrink(arguments: &ShrinkArguments) -> Result<Verdict, CliError> {
     let mutant = parse_mutant(arguments.mutant.as_deref())?;
-    let scenario = load_scenario(arguments.seed, arguments.scenario.as_deref())?;
+    let generate = generator::generate_scenario;
+    let scenario = load_scenario(arguments.seed, generate, arguments.scenario.as_deref())?;
     let Some(violation) = run_scenario(&scenario, mutant, false).violation else {
         println!("no rule broken");
         return Ok(Verdict::NoRuleBroken);
@@ -181,9 +191,13 @@
     Ok(parse(start)?..parse(end)?)
 }
 
-fn load_scenario(seed: Option<u64>, path: Option<&Path>) -> Result<Scenario, CliError> {
+fn load_scenario(
+    seed: Option<u64>,
+    generate: fn(u64) -> Scenario,
+    path: Option<&Path>,
+) -> Result<Scenario, CliError> {
     match (seed, path) {
-        (Some(seed), None) => Ok(generator::generate_scenario(seed)),
+        (Some(seed), None) => Ok(generate(seed)),
         (None, Some(path)) => {
             let text = std::fs::read_to_string(path)
                 .map_err(|source| CliError::Io { path: path.to_path_buf(), source })?;
--- a/crates/simulation/src/context.rs
+++ b/crates/simulation/src/context.rs
@@ -200,6 +200,12 @@
         balancer.runtime.is_some() && balancer.start_count == process.start
     }
 
+    /// Returns whether a balancer's process has ended by itself, after it was asked to shut down. It had to answer
+    /// every request before.
+    pub fn has_ended(&self, process: BalancerProcess) -> bool {
+        self.state().balancers[process.balancer].ended_starts.contains(&process.start)
+    }
+
     /// Returns whether another balancer than this one was killed recently.
     pub fn was_another_killed_recently(&self, balancer: usize) -> bool {
         let now = self.simulation.now();
--- a/crates/simulation/src/generator.rs
+++ b/crates/simulation/src/generator.rs
@@ -16,6 +16,14 @@
 /// The number of kinds of faults that are generated, the first ones. The others occur in kept scenarios alone:
 /// a larger number would change the scenario of each seed.
 const GENERATED_KINDS: u64 = 31;
+/// Makes the random numbers of shutdown scenarios independent of those of the same seed's load.
+const SHUTDOWN_SALT: u64 = 0x51_67e4;
+/// The earliest time of a shutdown request in a shutdown scenario.
+const MIN_SIGNAL_TIME: Micros = 2 * SECOND;
+/// The time before the signal from which on other faults of a shutdown scenario begin.
+const SIGNAL_LEAD: Micros = 1500 * MS;
+const PLENTY_OF_SOCKETS: u32 = 1024;
+const RELOADED_TIMEOUT_FACTORS: [f64; 3] = [0.4, 0.7, 1.0];
 
 fn random_between(rng: &mut Pcg, min: u64, max: u64) -> u64 {
     min + random_below(rng, max - min + 1)
@@ -29,6 +37,7 @@
         | FaultKind::DiscoveryPartition
         | FaultKind::KillBalancer
         | FaultKind::ShutDownBalancer
+        | FaultKind::ReloadSidecar
         | FaultKind::MoveDiscovery => u64::from(scenario.balancers),
         _ => u64::from(scenario.servers),
     }
@@ -91,6 +100,7 @@
         tick: [1, 1, 100, 1000][random_below(rng, 4) as usize],
         socket_limit: [96, 128, 256][random_below(rng, 3) as usize],
         uses_sidecar: false,
+        clients_stay: false,
         faults: Vec::new(),
     };
     let load_duration = (f64::from(requests) / rate * SECOND as f64) as Micros;
@@ -110,6 +120,39 @@
     scenario
 }
 
+/// Returns the scenario of a seed with a sidecar that is asked to shut down while endpoints hang and clients go on
+/// sending to it. The timeouts may be reloaded before and after the signal. Sockets are not short, so that a broken
+/// rule is not due to requests that wait to be accepted.
+pub fn generate_shutdown_scenario(seed: u64) -> Scenario {
+    let mut scenario = generate_sidecar_scenario(seed);
+    scenario.clients_stay = true;
+    scenario.socket_limit = PLENTY_OF_SOCKETS;
+    let mut rng = Pcg::new(mix(seed ^ SHUTDOWN_SALT));
+    let rng = &mut rng;
+    let load_duration = f64::from(scenario.requests.1) / scenario.requests_per_second * SECOND as f64;
+    let signal_at = random_between(rng, MIN_SIGNAL_TIME / MS, load_duration as u64 / MS) * MS;
+    let near_signal =
+        |rng: &mut Pcg| Trigger::At(signal_at + random_between(rng, 0, 3000) * MS - SIGNAL_LEAD);
+    let target = random_below(rng, u64::from(scenario.balancers)) as u32;
+    for _ in 0..random_between(rng, 1, u64::from(scenario.servers)) {
+        let hang = near_signal(rng);
+        add_fault(rng, &mut scenario, FaultKind::HangRequests, hang, Some(6 * SECOND));
+    }
+    for _ in 0..random_below(rng, 3) {
+        let reload = near_signal(rng);
+        let factor = RELOADED_TIMEOUT_FACTORS[random_below(rng, 3) as usize];
+        let fault = random_fault(rng, &scenario, FaultKind::ReloadSidecar, reload);
+        scenario.faults.push(Fault { target, magnitude: factor, ..fault });
+    }
+    if random_below(rng, 3) == 0 {
+        let storm = near_signal(rng);
+        add_fault(rng, &mut scenario, FaultKind::RequestStorm, storm, Some(2 * SECOND));
+    }
+    let signal = random_fault(rng, &scenario, FaultKind::ShutDownBalancer, Trigger::At(signal_at));
+    scenario.faults.push(Fault { target, duration: 0, ..signal });
+    scenario
+}
+
 fn needs_discovery(kind: FaultKind) -> bool {
     kind.pattern().contains("list")
         || matches!(
--- a/crates/simulation/src/mutants.rs
+++ b/crates/simulation/src/mutants.rs
@@ -54,4 +54,5 @@
     AttemptAfterEjection "attempt-after-ejection" [Rule::ManuallyEjected],
     StreamedTwice "streamed-twice" [Rule::StreamedTwice, Rule::Repeated, Rule::ExecutedTwice],
     TruncatedAnswer "truncated-answer" [Rule::WrongAnswer],
+    UnexpiredAtExit "unexpired-at-exit" [Rule::Lost],
 }
--- a/crates/simulation/src/mutants/hooks.rs
+++ b/crates/simulation/src/mutants/hooks.rs
@@ -13,6 +13,7 @@
 use crate::checker::SharedRecords;
 use crate::context::ClusterContext;
 use crate::kernel::Side;
+use crate::request_class::longest_timeout;
 use crate::runtime::ConnectionHooks;
 use crate::scenario::TriggerEvent;
 use crate::stream::SimulatedStream;
@@ -66,6 +67,16 @@
         self.traffic.lock().expect("no panic while the traffic is locked")
     }
 
+    /// Returns whether the balancer of a stream was asked to shut down longer ago than the longest timeout. All
+    /// responses that it sends then belong to requests that it has expired.
+    pub(super) fn is_past_longest_timeout(&self, stream: &SimulatedStream) -> bool {
+        let Some(context) = self.context.upgrade() else { return false };
+        let Some(balancer) = context.balancer_at(stream.runtime.host) else { return false };
+        let requested_at = context.state().balancers[balancer].shutdown_requested_at;
+        let now = stream.runtime.simulation.now();
+        requested_at.is_some_and(|requested_at| now >= requested_at + longest_timeout())
+    }
+
     /// Collects the bytes that are written to an endpoint. Returns the attempt that they belong to, as
     /// written so far, or `None` if they belong to none.
     fn observe_attempt(
--- a/crates/simulation/src/mutants/responses.rs
+++ b/crates/simulation/src/mutants/responses.rs
@@ -19,6 +19,9 @@
         stream: &SimulatedStream,
         bytes: &[u8],
     ) -> Option<usize> {
+        if mutant == Mutant::UnexpiredAtExit && self.is_past_longest_timeout(stream) {
+            return Some(bytes.len());
+        }
         let mut traffic = self.traffic();
         if !bytes.starts_with(b"HTTP/1.1 ") {
             let is_suppressed = traffic.suppressed_connection == Some(stream.socket.connection);
--- a/crates/simulation/src/nodes.rs
+++ b/crates/simulation/src/nodes.rs
@@ -7,8 +7,9 @@
 
 use doorproxy::dispatcher::Dispatcher;
 use doorproxy_balancer::admin::overrides::TextStore;
+use doorproxy_config::sidecar::SidecarConfig;
 use serde_json::{Value, json};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::kernel::HostId;
 use crate::runtime::SimulatedRuntime;
@@ -86,6 +87,12 @@
     pub down_count: u32,
     /// True once its process was asked to shut down.
     pub is_shutting_down: bool,
+    /// The time at which its process was asked to shut down.
+    pub shutdown_requested_at: Option<Micros>,
+    /// The sender of reloaded configurations to the process of a sidecar.
+    pub reload_sender: Option<mpsc::Sender<SidecarConfig>>,
+    /// The processes that ended by themselves, by the number of their start.
+    pub ended_starts: Vec<u32>,
 }
 
 /// The override file of a balancer, in memory.
--- a/crates/simulation/src/request_class.rs
+++ b/crates/simulation/src/request_class.rs
@@ -40,6 +40,11 @@
     RequestClass { name: "order", timeout: 2500 * MS, latency_objective_secs: 1.0 },
 ];
 
+/// Returns the longest timeout of any class.
+pub fn longest_timeout() -> Micros {
+    REQUEST_CLASSES.iter().map(|class| class.timeout).max().unwrap_or(0)
+}
+
 /// Returns the length of a request's body in bytes if it is longer than a balancer buffers.
 pub fn long_request_body_bytes(seed: u64, request_id: u64) -> Option<usize> {
     long_body_bytes(seed, request_id, 0x10a6)
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -46,6 +46,8 @@
     pub socket_limit: u32,
     /// Whether sidecars run in place of balancers. A sidecar reads its endpoints from a file.
     pub uses_sidecar: bool,
+    /// Whether clients go on choosing a balancer that was asked to shut down, until its process has ended.
+    pub clients_stay: bool,
     /// The faults, in the order of the text.
     pub faults: Vec<Fault>,
 }
@@ -64,6 +66,7 @@
             tick: 1,
             socket_limit: 96,
             uses_sidecar: false,
+            clients_stay: false,
             faults: Vec::new(),
         }
     }
@@ -84,6 +87,9 @@
         if self.uses_sidecar {
             writeln!(out, "front sidecar")?;
         }
+        if self.clients_stay {
+            writeln!(out, "clients-after-sigterm stay")?;
+        }
         self.faults.iter().try_for_each(|fault| writeln!(out, "{fault}"))
     }
 }
@@ -127,6 +133,7 @@
             "tick" => self.tick = parse_time_value(value)?.max(1),
             "sockets" => self.socket_limit = parse_count(value)?.max(MIN_SOCKET_LIMIT),
             "front" if value == "sidecar" => self.uses_sidecar = true,
+            "clients-after-sigterm" if value == "stay" => self.clients_stay = true,
             "at" | "on" => self.faults.push(line.parse()?),
             _ => return Err(LineProblem::UnknownWord),
         }
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -69,6 +69,7 @@
     SlowNetwork "SlowNet" "slow network by X for D",
     EjectManually "PutOut" "put out server T at balancer O for D",
     RepeatResponses "Copies" "copy server T for D",
+    ReloadSidecar "ReloadSidecar" "reload sidecar T by X",
 }
 
 macro_rules! trigger_events {
--- a/crates/simulation/tests/runs.rs
+++ b/crates/simulation/tests/runs.rs
@@ -68,6 +68,19 @@
     assert_eq!(broken, Vec::<String>::new());
 }
 
+/// Prevents that a sidecar that is asked to shut down ends without a response to a request that it has taken, in
+/// any phase and with any reload, while clients go on sending to it and endpoints hang.
+#[test]
+fn shutdown_seeds_with_sidecars_break_no_rule() {
+    let seeds: Vec<u64> = (0..300).collect();
+    let broken = map_on_all_cores(&seeds, |&seed| {
+        let report = run_scenario(&generator::generate_shutdown_scenario(seed), None, false);
+        report.violation.map(|found| format!("seed {seed}: {found:?}"))
+    });
+    let broken: Vec<String> = broken.into_iter().flatten().collect();
+    assert_eq!(broken, Vec::<String>::new());
+}
+
 /// Checks that fixed bugs do not return. Each scenario is shrunk from a seed that broke a rule.
 #[test]
 fn kept_scenarios_break_no_rule() {
@@ -186,8 +199,12 @@
 #[test]
 fn each_mutant_is_found() {
     let found = map_on_all_cores(Mutant::ALL, |&mutant| {
+        let generate = match mutant {
+            Mutant::UnexpiredAtExit => generator::generate_shutdown_scenario,
+            _ => generator::generate_scenario,
+        };
         let first = (0..500).find_map(|seed| {
-            let scenario = generator::generate_scenario(seed);
+            let scenario = generate(seed);
             let rule = run_scenario(&scenario, Some(mutant), false).violation?.rule;
             mutant.rules().contains(&rule).then_some((scenario, rule))
         });
@@ -213,6 +230,7 @@
         attempt-after-ejection: ban, small
         streamed-twice: streamed-twice, small
         truncated-answer: wrong-answer, small
+        unexpired-at-exit: lost, small
     "#]]
     .assert_eq(&found.concat());
 }
