Split the lifecycle and the client connection into smaller modules

Change: process_phase, shutdown_times and unwritten_response are modules of their own; nothing behaves differently.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -10,6 +10,7 @@
 pub mod headers;
 pub mod lifecycle;
 pub mod open_requests;
+pub mod process_phase;
 pub mod request_body;
 pub(crate) mod request_fields;
 pub mod request_head;
@@ -18,6 +19,8 @@
 mod serve_connection;
 pub mod server;
 pub mod shutdown;
+pub mod shutdown_times;
+mod unwritten_response;
 
 use doorproxy::ids::Ticks;
 
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -6,22 +6,18 @@
 use std::task::Waker;
 
 use axum::http::HeaderValue;
-use doorproxy::ids::{Ticks, Timestamp};
+use doorproxy::ids::Timestamp;
 use tokio::sync::Notify;
 
-use crate::http::STREAM_IDLE_TIMEOUT;
 use crate::http::connection_state::ConnectionState;
 use crate::http::framing::ClientError;
 use crate::http::open_requests::{OpenRequest, RequestPhase};
+use crate::http::unwritten_response::UnwrittenResponse;
 use crate::metrics::InFlightGuard;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Runtime, TraceTopic};
 use crate::sync::lock;
 
-/// A client that has read nothing of its response for this time may be evicted. The system reports free space
-/// only once a third of the send buffer is read, which takes a slow client more than a second.
-const WRITE_STALL_TIME: Ticks = Ticks(40_000);
-
 /// Tracks a client connection.
 pub struct ClientConnection<R> {
     runtime: R,
@@ -58,13 +54,6 @@
     last_received_at: Timestamp,
 }
 
-/// Tracks a response of which bytes may still be in the buffer of the HTTP library. It counts as in flight.
-struct UnwrittenResponse {
-    /// Time at which the latest bytes were written to the socket.
-    last_progress_at: Timestamp,
-    in_flight: Option<InFlightGuard>,
-}
-
 /// Describes the pace at which a client sends a body.
 #[derive(Clone, Copy, Debug)]
 pub struct ReceivePace {
@@ -79,15 +68,13 @@
 impl Inner {
     /// Returns whether a response is being written to a client that still reads, as far as is known.
     fn is_writing(&self, now: Timestamp) -> bool {
-        let unwritten = self.unwritten.as_ref();
-        unwritten.is_some_and(|unwritten| now - unwritten.last_progress_at < WRITE_STALL_TIME)
+        self.unwritten.as_ref().is_some_and(|unwritten| unwritten.is_being_read(now))
     }
 
     /// Starts to track a response, or its rest.
     fn set_unwritten(&mut self, now: Timestamp) {
-        let tracked = self.unwritten.take().and_then(|unwritten| unwritten.in_flight);
-        let in_flight = self.in_flight.take().or(tracked);
-        self.unwritten = Some(UnwrittenResponse { last_progress_at: now, in_flight });
+        let tracked = self.unwritten.take().and_then(UnwrittenResponse::into_in_flight);
+        self.unwritten = Some(UnwrittenResponse::new(now, self.in_flight.take().or(tracked)));
     }
 
     fn record_early_response(&mut self) {
@@ -145,7 +132,7 @@
         self.written_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
         let now = self.runtime.now();
         if let Some(unwritten) = &mut self.inner().unwritten {
-            unwritten.last_progress_at = now;
+            unwritten.on_progress(now);
         }
     }
 
@@ -400,6 +387,6 @@
         let inner = self.inner();
         let deadline = inner.state.deadline(now);
         let unwritten = inner.unwritten.as_ref();
-        unwritten.map_or(deadline, |unwritten| deadline.max(unwritten.last_progress_at + STREAM_IDLE_TIMEOUT))
+        unwritten.map_or(deadline, |unwritten| deadline.max(unwritten.deadline()))
     }
 }
--- a/crates/balancer/src/http/lifecycle.rs
+++ b/crates/balancer/src/http/lifecycle.rs
@@ -6,119 +6,14 @@
 use doorproxy::ids::{Ticks, Timestamp};
 use tokio::sync::Notify;
 
+use crate::http::process_phase::ProcessPhase;
+use crate::http::shutdown_times::ShutdownTimes;
 use crate::runtime::Runtime;
 use crate::sync::lock;
 
-/// Fraction of the grace period in which clients are still accepted and served after a shutdown request: if
-/// other balancers restart at the same time, the clients of this one would find no other.
-const SERVING_GRACE_RATIO: f64 = 2.0 / 3.0;
-/// Time after the end of the grace period for flushing the last responses.
-const FINAL_FLUSH_TIME: Ticks = Ticks(3500);
-/// Time beyond the longest timeout after which open requests expire. Together with the final flush it ends
-/// 0.1 s before the operator may kill the process, which is 0.7 s after the longest timeout.
-const EXPIRY_ALLOWANCE: Ticks = Ticks(2500);
 /// Minimum time for flushing, however late the end of the grace period was handled.
 const MIN_FINAL_FLUSH_TIME: Ticks = Ticks(2000);
 
-/// States the phase of a process in serving its clients.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProcessPhase {
-    /// The process accepts connections and requests.
-    Serving,
-    /// A successor process accepts the new connections.
-    Superseded {
-        /// Time at which this process detected that the successor serves.
-        since: Timestamp,
-    },
-    /// Shutdown was requested.
-    Draining {
-        /// Time of the request.
-        requested_at: Timestamp,
-    },
-    /// Shutdown was requested, and a successor process accepts the new connections.
-    DrainingSuperseded {
-        /// Time of the shutdown request.
-        requested_at: Timestamp,
-        /// Time at which this process detected that the successor serves.
-        since: Timestamp,
-    },
-}
-
-impl ProcessPhase {
-    /// Returns the time of the first shutdown request.
-    pub fn shutdown_requested_at(self) -> Option<Timestamp> {
-        match self {
-            ProcessPhase::Serving | ProcessPhase::Superseded { .. } => None,
-            ProcessPhase::Draining { requested_at }
-            | ProcessPhase::DrainingSuperseded { requested_at, .. } => Some(requested_at),
-        }
-    }
-
-    /// Returns the time since which a successor process serves.
-    pub fn superseded_since(self) -> Option<Timestamp> {
-        match self {
-            ProcessPhase::Serving | ProcessPhase::Draining { .. } => None,
-            ProcessPhase::Superseded { since } | ProcessPhase::DrainingSuperseded { since, .. } => {
-                Some(since)
-            }
-        }
-    }
-
-    fn new(requested_at: Option<Timestamp>, since: Option<Timestamp>) -> ProcessPhase {
-        match (requested_at, since) {
-            (None, None) => ProcessPhase::Serving,
-            (None, Some(since)) => ProcessPhase::Superseded { since },
-            (Some(requested_at), None) => ProcessPhase::Draining { requested_at },
-            (Some(requested_at), Some(since)) => ProcessPhase::DrainingSuperseded { requested_at, since },
-        }
-    }
-
-    /// Returns the phase after a shutdown request. Requests after the first have no effect.
-    #[must_use]
-    pub fn on_shutdown_requested(self, now: Timestamp) -> ProcessPhase {
-        let requested_at = self.shutdown_requested_at().unwrap_or(now);
-        ProcessPhase::new(Some(requested_at), self.superseded_since())
-    }
-
-    /// Returns the phase after a successor has started to serve, or, with `None`, after it has exited.
-    #[must_use]
-    pub fn on_successor(self, since: Option<Timestamp>) -> ProcessPhase {
-        ProcessPhase::new(self.shutdown_requested_at(), since)
-    }
-}
-
-/// Holds the time limits of a shutdown, all counted from the shutdown request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ShutdownTimes {
-    /// Until then clients are accepted and served. Afterwards connections close once they have no request.
-    pub serving: Ticks,
-    /// The end of the grace period: no attempt starts afterwards, and every open request gets its final
-    /// response.
-    pub grace: Ticks,
-    /// The end of the final flush, in which these responses are written: the process exits even if connections
-    /// are open.
-    pub exit: Ticks,
-}
-
-impl ShutdownTimes {
-    /// Returns the times for a given grace period. Clients are served for two thirds of it, but at least for
-    /// `min_serving_time`.
-    pub fn with_grace_period(grace_period: Ticks, min_serving_time: Ticks) -> ShutdownTimes {
-        ShutdownTimes {
-            serving: grace_period.mul_f64(SERVING_GRACE_RATIO).max(min_serving_time),
-            grace: grace_period,
-            exit: grace_period + FINAL_FLUSH_TIME,
-        }
-    }
-
-    /// Returns the times for a process that may be killed 0.7 s after the longest timeout of its requests.
-    /// Requests keep as much of their time as that allows.
-    pub fn for_longest_timeout(timeout: Ticks) -> ShutdownTimes {
-        let grace = timeout + EXPIRY_ALLOWANCE;
-        ShutdownTimes { serving: timeout.mul_f64(SERVING_GRACE_RATIO), grace, exit: grace + FINAL_FLUSH_TIME }
-    }
-}
-
 /// Holds the phase of a process and the time limits of its shutdown.
 pub struct Lifecycle {
     state: Mutex<LifecycleState>,
--- a/crates/balancer/tests/lifecycle.rs
+++ b/crates/balancer/tests/lifecycle.rs
@@ -1,7 +1,8 @@
 //! Tests the times of a shutdown, which is requested at 0.
 
 use doorproxy::ids::{Ticks, Timestamp};
-use doorproxy_balancer::http::lifecycle::{Lifecycle, ShutdownTimes};
+use doorproxy_balancer::http::lifecycle::Lifecycle;
+use doorproxy_balancer::http::shutdown_times::ShutdownTimes;
 use expect_test::expect;
 
 /// The time after the longest timeout at which an operator may kill the process, by the protocol.
