--- a/crates/simulation/tests/sidecar_shutdown.rs
+++ b/crates/simulation/tests/sidecar_shutdown.rs
@@ -1,6 +1,8 @@
 //! Tests in virtual time that a sidecar which is told to end gives every request that it has taken exactly one
 //! response before the operator may kill it, whatever phase the request is in.
 
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::sync::{Arc, Mutex};
 
 use doorproxy_balancer::runtime::{Listener, Runtime, Stream};
@@ -16,6 +18,7 @@
 use tokio::sync::{Notify, mpsc};
 
 const SIDECAR_HOST: HostId = HostId(1);
+const HARNESS_HOST: HostId = HostId(9);
 const UPSTREAM_HOST: HostId = HostId(20);
 const CLIENT_HOST: HostId = HostId(100);
 const PORT: u16 = 5000;
@@ -25,8 +28,6 @@
 /// The time after the longest timeout at which the operator may kill the process (PROTOCOL.md).
 const KILL_MARGIN: Micros = 700 * MS;
 const LATENCY: Micros = 100;
-/// The number of connections that the client of a run may open.
-const CONNECTIONS: usize = 64;
 
 const ORDER: &str = "POST /order/hang HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
 
@@ -86,65 +87,83 @@
     }
 }
 
-/// What was seen of a run; times are relative to [`SIGTERM`].
+/// What the client has seen of a connection; times are in microseconds relative to [`SIGTERM`].
 #[derive(Default)]
-struct Outcome {
-    /// The response of each connection, in the order in which they came.
-    responses: Vec<Vec<(u16, i64)>>,
-    /// The time at which each connection ended.
-    ends: Vec<Option<i64>>,
-    /// Whether the system refused each connection.
-    is_refused: Vec<bool>,
-    /// The time at which the process ended, and the text of its error.
-    exit: Option<(i64, Option<String>)>,
+struct ConnectionOutcome {
+    /// The status and the time of each response, in the order in which they came.
+    responses: Vec<(u16, i64)>,
+    ended_at: Option<i64>,
+    /// Whether the system refused the connection.
+    is_refused: bool,
 }
 
-impl Outcome {
-    /// Describes the responses of a connection, with times in seconds.
-    fn of(&self, connection: usize) -> String {
-        let seconds = |time: i64| format!("{:.2}", time as f64 / SECOND as f64);
-        let responses = self.responses[connection].iter();
-        let responses: Vec<String> =
-            responses.map(|(status, at)| format!("{status} at {}", seconds(*at))).collect();
-        let end = match self.ends[connection] {
-            _ if self.is_refused[connection] => "refused".to_string(),
+impl ConnectionOutcome {
+    /// Describes the responses and the end, with times in seconds.
+    fn describe(&self) -> String {
+        let mut events: Vec<String> =
+            self.responses.iter().map(|(status, at)| format!("{status} at {}", seconds(*at))).collect();
+        events.push(match self.ended_at {
+            _ if self.is_refused => "refused".to_string(),
             Some(at) => format!("closed at {}", seconds(at)),
             None => "open".to_string(),
-        };
-        responses.into_iter().chain([end]).collect::<Vec<String>>().join(", ")
+        });
+        events.join(", ")
     }
 
-    /// Lists the statuses of a connection's responses.
-    fn statuses(&self, connection: usize) -> String {
-        let statuses: Vec<String> =
-            self.responses[connection].iter().map(|(status, _)| status.to_string()).collect();
+    /// Lists the statuses of the responses.
+    fn statuses(&self) -> String {
+        let statuses: Vec<String> = self.responses.iter().map(|(status, _)| status.to_string()).collect();
         match statuses.join("+") {
-            _ if self.is_refused[connection] => "refused".to_string(),
+            _ if self.is_refused => "refused".to_string(),
             none if none.is_empty() => "closed".to_string(),
             statuses => statuses,
         }
     }
+}
 
-    /// Checks that each request has one response if its connection was open as its last byte was sent, at a time
-    /// in milliseconds, and that no response and not the end of the process comes after the operator may kill
-    /// it. `grace` is the longest timeout. A request that was not sent whole may have a response.
-    fn check(&self, connection: usize, sent_at: i64, requests: usize, grace: f64, name: &str) {
-        let sent_at = sent_at * MS as i64;
-        let is_open = !self.is_refused[connection] && self.ends[connection].is_none_or(|end| end > sent_at);
-        let responses = &self.responses[connection];
-        let expected = if is_open { requests..=requests.max(1) } else { 0..=requests.max(1) };
-        assert!(expected.contains(&responses.len()), "{name} at {sent_at}: {}", self.of(connection));
-        let killed_at = (grace * SECOND as f64) as i64 + KILL_MARGIN as i64;
-        assert!(responses.iter().all(|(_, at)| *at < killed_at), "{name} at {sent_at}");
-        let (ended_at, error) = self.exit.as_ref().expect("the process ended");
-        assert!(*ended_at < killed_at && error.is_none(), "{name} at {sent_at}: {}", self.exit());
+/// The end of a process.
+struct Exit {
+    at: i64,
+    error: Option<String>,
+}
+
+/// What was seen of a run.
+#[derive(Default)]
+struct Outcome {
+    connections: BTreeMap<usize, ConnectionOutcome>,
+    exit: Option<Exit>,
+}
+
+fn seconds(time: i64) -> String {
+    format!("{:.2}", time as f64 / SECOND as f64)
+}
+
+impl Outcome {
+    fn exit(&self) -> &Exit {
+        self.exit.as_ref().expect("the process ended")
     }
 
     /// Describes the end of the process.
-    fn exit(&self) -> String {
-        let (at, error) = self.exit.as_ref().expect("the process ended");
+    fn describe_exit(&self) -> String {
+        let Exit { at, error } = self.exit();
         let error = error.as_deref().map_or(String::new(), |error| format!(", {error}"));
-        format!("ended at {:.2}{error}", *at as f64 / SECOND as f64)
+        format!("ended at {}{error}", seconds(*at))
+    }
+
+    /// Checks that each request has one response if its connection was open as its last byte was sent, at a time
+    /// in milliseconds, and that no response and not the end of the process comes after the operator may kill
+    /// it. `longest_timeout` is in seconds. A request that was not sent whole may have a response.
+    fn check(&self, connection: usize, sent_at: i64, requests: usize, longest_timeout: f64) {
+        let outcome = &self.connections[&connection];
+        let text = format!("sent at {sent_at} ms: {}; {}", outcome.describe(), self.describe_exit());
+        let sent_at = sent_at * MS as i64;
+        let is_taken = !outcome.is_refused && outcome.ended_at.is_none_or(|ended_at| ended_at > sent_at);
+        let max_responses = requests.max(1);
+        let expected = if is_taken { requests..=max_responses } else { 0..=max_responses };
+        assert!(expected.contains(&outcome.responses.len()), "{text}");
+        let killed_at = (longest_timeout * SECOND as f64) as i64 + KILL_MARGIN as i64;
+        assert!(outcome.responses.iter().all(|(_, at)| *at < killed_at), "{text}");
+        assert!(self.exit().at < killed_at && self.exit().error.is_none(), "{text}");
     }
 }
 
@@ -175,6 +194,7 @@
     /// Starts the sidecar, and ends its process as the system does once it has ended by itself.
     fn start_sidecar(self: &Arc<Run>, timeouts: [f64; 2], reloads: mpsc::Receiver<SidecarConfig>) {
         let runtime = self.new_runtime(SIDECAR_HOST, "sidecar");
+        let process = runtime.process;
         let run = self.clone();
         let sigterm = self.simulation.sleep(SIGTERM);
         let ended = Arc::new(Notify::new());
@@ -183,13 +203,12 @@
             let served =
                 doorproxy_sidecar::server::serve(runtime, config(timeouts), 1, reloads, sigterm).await;
             let error = served.err().map(|error| error.to_string());
-            run.outcome.lock().unwrap().exit = Some((run.since_sigterm(), error));
+            run.outcome.lock().unwrap().exit = Some(Exit { at: run.since_sigterm(), error });
             ended.notify_one();
             std::future::pending().await
         });
-        let harness = self.new_runtime(HostId(9), "harness");
+        let harness = self.new_runtime(HARNESS_HOST, "harness");
         let run = self.clone();
-        let process = doorproxy_simulation::kernel::ProcessId(harness.process.0 - 1);
         harness.spawn(async move {
             process_ended.notified().await;
             run.simulation.state().close_process_sockets(process);
@@ -197,6 +216,11 @@
         });
     }
 
+    /// Changes what is recorded of a connection.
+    fn record(&self, connection: usize, change: impl FnOnce(&mut ConnectionOutcome)) {
+        change(self.outcome.lock().unwrap().connections.entry(connection).or_default());
+    }
+
     /// Opens a connection, and records what comes on it.
     async fn open(
         self: &Arc<Run>,
@@ -204,18 +228,20 @@
         connection: usize,
     ) -> Option<Arc<SimulatedStream>> {
         let Ok(stream) = runtime.dial(address_of(SIDECAR_HOST, PORT)).await else {
-            self.outcome.lock().unwrap().is_refused[connection] = true;
+            self.record(connection, |outcome| outcome.is_refused = true);
             return None;
         };
+        self.record(connection, |_| {});
         let stream = Arc::new(stream);
         let (run, read_stream) = (self.clone(), stream.clone());
         runtime.spawn(async move {
             let mut reader = MessageReader::default();
             while let Ok(Some(message)) = reader.next_message(&read_stream).await {
                 let response = (message.status(), run.since_sigterm());
-                run.outcome.lock().unwrap().responses[connection].push(response);
+                run.record(connection, |outcome| outcome.responses.push(response));
             }
-            run.outcome.lock().unwrap().ends[connection] = Some(run.since_sigterm());
+            let ended_at = run.since_sigterm();
+            run.record(connection, |outcome| outcome.ended_at = Some(ended_at));
             read_stream.shutdown_write();
         });
         Some(stream)
@@ -231,28 +257,21 @@
         state.network.tick = 1;
     }
     let run = Arc::new(Run { simulation, outcome: Arc::default() });
-    {
-        let mut outcome = run.outcome.lock().unwrap();
-        outcome.responses.resize(CONNECTIONS, Vec::new());
-        outcome.ends.resize(CONNECTIONS, None);
-        outcome.is_refused.resize(CONNECTIONS, false);
-    }
     run.start_upstream();
     let (reload_sender, reloads) = mpsc::channel(1);
     run.start_sidecar(timeouts, reloads);
     let client = run.new_runtime(CLIENT_HOST, "client");
     let client_run = run.clone();
     client.clone().spawn(async move {
-        let mut streams: Vec<Option<Arc<SimulatedStream>>> = vec![None; CONNECTIONS];
+        let mut streams: BTreeMap<usize, Option<Arc<SimulatedStream>>> = BTreeMap::new();
         for Step { at, action } in steps {
-            let wait = (SIGTERM as i64 + at) as Micros - client.simulation.now();
-            client.sleep_micros(wait).await;
+            client.sleep_micros((at - client_run.since_sigterm()).max(0) as Micros).await;
             match action {
                 Action::Send(connection, bytes) => {
-                    if streams[connection].is_none() {
-                        streams[connection] = client_run.open(&client, connection).await;
+                    if let Entry::Vacant(entry) = streams.entry(connection) {
+                        entry.insert(client_run.open(&client, connection).await);
                     }
-                    if let Some(stream) = &streams[connection] {
+                    if let Some(stream) = &streams[&connection] {
                         let _ = stream.write(bytes.as_bytes()).await;
                     }
                 }
@@ -278,7 +297,11 @@
     let mut report = String::new();
     for sent_at in [-1000, -1, 0, 1, 300, 349, 351, 1000, 1999, 2001] {
         let outcome = run([1.0, 3.0], vec![send(sent_at, 0, ORDER)]);
-        report += &format!("sent at {sent_at} ms: {}; {}\n", outcome.of(0), outcome.exit());
+        report += &format!(
+            "sent at {sent_at} ms: {}; {}\n",
+            outcome.connections[&0].describe(),
+            outcome.describe_exit()
+        );
     }
     expect![[r#"
         sent at -1000 ms: 502 at 2.00, closed at 2.00; ended at 2.02
@@ -346,9 +369,9 @@
             let mut steps: Vec<Step> = parts.chain([send(1500, 1, ORDER)]).collect();
             steps.sort_by_key(|step| step.at);
             let outcome = run([1.0, 3.0], steps);
-            report += &format!(" {}", outcome.statuses(0));
-            outcome.check(0, last_part_at, requests, 3.0, name);
-            outcome.check(1, 1500, 1, 3.0, name);
+            report += &format!(" {}", outcome.connections[&0].statuses());
+            outcome.check(0, last_part_at, requests, 3.0);
+            outcome.check(1, 1500, 1, 3.0);
         }
         report += "\n";
     }
@@ -389,7 +412,7 @@
     let mut report = String::new();
     for (name, timeouts, steps) in cases {
         let outcome = run(timeouts, steps);
-        report += &format!("{name}: {}; {}\n", outcome.of(0), outcome.exit());
+        report += &format!("{name}: {}; {}\n", outcome.connections[&0].describe(), outcome.describe_exit());
     }
     expect![[r#"
         longer: 502 at 3.10, closed at 3.10; ended at 3.12
@@ -407,11 +430,12 @@
 fn end_of_the_process_follows_the_longest_timeout() {
     let mut report = String::new();
     for timeouts in [[0.3, 0.3], [1.0, 1.0], [3.0, 1.0], [1.0, 3.0], [60.0, 60.0]] {
-        let grace = f64::max(timeouts[0], timeouts[1]);
-        let sent_at = (0.4 * grace * 1000.0) as i64;
+        let longest = f64::max(timeouts[0], timeouts[1]);
+        let sent_at = (0.4 * longest * 1000.0) as i64;
         let outcome = run(timeouts, vec![send(sent_at, 0, ORDER)]);
-        outcome.check(0, sent_at, 1, grace, "order");
-        report += &format!("{timeouts:?}: {}; {}\n", outcome.of(0), outcome.exit());
+        outcome.check(0, sent_at, 1, longest);
+        report +=
+            &format!("{timeouts:?}: {}; {}\n", outcome.connections[&0].describe(), outcome.describe_exit());
     }
     expect![[r#"
         [0.3, 0.3]: 502 at 0.42, closed at 0.42; ended at 0.44
