Count pipelined input as waiting only until its request is read

Callers saw: a client that sent half a head behind a whole request kept its connection, and its descriptor, for as long as it liked once it was evicted. Cause: the mark of waiting input was cleared when the next head was whole. Between the response and then, an evicted connection counted as one on which a request is arriving, so it was not closed, and an aborted one has no deadline. Change: the mark is cleared when the reader begins with that input; from then on the state of the connection tells.

--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -236,7 +236,6 @@
     pub fn expect_response(&self, is_last: bool) {
         let mut inner = self.inner();
         inner.awaits_response = true;
-        inner.pipelined_input = None;
         inner.is_last_request |= is_last;
     }
 
@@ -249,7 +248,9 @@
     /// Records that the first byte of a request has arrived.
     pub fn on_first_byte(&self) {
         let now = self.runtime.now();
-        self.inner().state.on_first_byte(now);
+        let mut inner = self.inner();
+        inner.state.on_first_byte(now);
+        inner.pipelined_input = None;
     }
 
     /// Records that a head is complete. Head and body have `length` bytes, and those read so far arrived by
--- a/crates/balancer/tests/pipelining.rs
+++ b/crates/balancer/tests/pipelining.rs
@@ -95,3 +95,15 @@
     assert_eq!(exchange.responses(), 2);
     assert_eq!(output.matches("connection: close").count(), 1);
 }
+
+/// Prevents that half a head which came before the response to another request keeps its connection for good: it
+/// counted as input that waits for that response even while it was being read, so its eviction did not close it.
+#[tokio::test(start_paused = true)]
+async fn half_a_pipelined_head_may_be_evicted() {
+    let exchange = Exchange::start();
+    exchange.send_and_wait(&[REQUEST, &REQUEST[..5]].concat(), RESPONSE_TIME * 20).await;
+    exchange.connections.close_idle(1);
+    tokio::time::sleep(RESPONSE_TIME * 100).await;
+    assert_eq!(exchange.responses(), 1);
+    assert_eq!(exchange.connections.count(), 0);
+}
