--- a/crates/balancer/tests/pipelining.rs
+++ b/crates/balancer/tests/pipelining.rs
@@ -84,7 +84,7 @@
     assert!(exchange.stream.is_ended(), "the connection is idle and closes");
 }
 
-/// Prevents that a client which pipelines is told that its connection closes while requests wait on it: only the
+/// Prevents that a response to a client which pipelines announces the close while requests wait on the connection: only the
 /// last response may say so.
 #[tokio::test(start_paused = true)]
 async fn only_the_last_response_announces_the_close() {
--- a/crates/simulation/tests/sidecar_shutdown.rs
+++ b/crates/simulation/tests/sidecar_shutdown.rs
@@ -1,4 +1,4 @@
-//! Tests in virtual time that a sidecar which is told to end gives every request that it has taken exactly one
+//! Tests in virtual time that a sidecar that is asked to shut down gives every request that it has taken exactly one
 //! response before the operator may kill it, whatever phase the request is in.
 
 use std::collections::BTreeMap;
