Send the requests of the socket test before their connections can be evicted

Cause: the test opened 20 connections at once and then sent a request on one after the other. Connections hold more than a sixth of the 64 sockets, so one that has sent nothing for 200 ms is evicted (docs/architecture.md, "Of the sockets"), and on a slow machine the later clients came after that. Traced with DOORPROXY_TRACE=connections in 240 runs, 48 at once: 8 failed; each client there sent its request 233 to 289 ms after it had connected, and the trace has "evicted" and "0 bytes written" for its connection. 40 of 40 passed alone. The balancer does what the page says.

Change: the balancer is stopped while the 20 requests are sent, so that each has arrived before its connection is accepted. As strict: the same 20 clients, sockets and trace, and each answer must now be a 200 too.

--- a/crates/cli/tests/sockets.rs
+++ b/crates/cli/tests/sockets.rs
@@ -399,9 +399,17 @@
         read_message(&mut idle_client.0);
         idle_trace.record("idle balancer closed a connection without a request");
     });
+    // A connection that has sent nothing for 200 ms may be closed too: each request is there before its connection
+    // is accepted.
+    full_balancer.signal("STOP");
     let mut clients: Vec<Client> = (0..20).map(|_| Client::new(&full_balancer)).collect();
     for (id, client) in clients.iter_mut().enumerate() {
-        read_message(&mut client.get("/", &id.to_string()).0).expect("an answer");
+        client.get("/", &id.to_string());
+    }
+    full_balancer.signal("CONT");
+    for client in &mut clients {
+        let answer = read_message(&mut client.0).expect("an answer");
+        assert!(answer.start_line().contains("200"), "{}", answer.start_line());
     }
     clients[0].record_answer(&trace);
     waiter.join().unwrap();
