--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -495,3 +495,36 @@
     "#]]);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Detects that a list which arrived in time, while the process was stopped, is dropped because the timeout of its
+/// request is noticed first: the process would go on using a draining endpoint.
+#[test]
+fn list_that_arrives_while_the_process_is_stopped_is_applied() {
+    let trace = Trace::default();
+    let (a, b) = (test_endpoint("A", &trace), test_endpoint("B", &trace));
+    let (calls, stopped) = (Trace::default(), Trace::default());
+    let (call_log, is_stopped) = (calls.clone(), stopped.clone());
+    let discovery = discovery_service(move |call| {
+        call_log.record(call);
+        is_stopped.wait_for("stopped");
+        let servers = [endpoint_entry("a", a, "leaving"), endpoint_entry("b", b, "active")];
+        Some(json!({"version": 2, "full": false, "servers": servers}).to_string())
+    });
+    let balancer = start_with(&[endpoint_entry("a", a, "active")], discovery, 256);
+    calls.wait_for("GET /api/targets?after=1&wait_ms=1000 HTTP/1.1");
+    balancer.signal("STOP");
+    stopped.record("stopped");
+    // The timeout of the call passes.
+    thread::sleep(Duration::from_millis(2500));
+    balancer.signal("CONT");
+    balancer.log.wait_until("the list, or its timeout", |log| {
+        log.contains("draining") || log.contains("discovery: request failed")
+    });
+    let log = balancer.log.0.0.lock().unwrap().clone();
+    assert!(!log.contains("discovery: request failed"), "{log}");
+    Client::new(&balancer).get("/", "1").record_answer(&trace);
+    trace.assert_matches(expect![[r#"
+        B: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
