Count no endpoint list that was sent to a process which had ended

Cause, in the checks and not in the balancer: a process killed while its call waits in discovery's queue leaves that call behind. Discovery answers it later, and the list was counted for the balancer's next process; the empty list in the configuration of that one then looked as if it took all six endpoints away.

Change: a list is recorded with the time its connection was opened, and check_history leaves out those on connections older than their balancer's process.

--- a/crates/process-tests/src/checkers.rs
+++ b/crates/process-tests/src/checkers.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod drain_notices;
 mod fleet_limits;
+mod list_recipients;
 mod member_counts;
 mod operator_overrides;
 mod permits;
@@ -21,6 +22,7 @@
 use crate::addresses::{CLIENTS, DISCOVERY};
 use crate::history::History;
 use crate::scenario::Scenario;
+use list_recipients::ListRecipients;
 
 /// The tolerated delay between a decision and its observation on a machine with busy cores. A balancer that
 /// violates a timed rule keeps doing so, and is found in spite of this tolerance.
@@ -197,8 +199,12 @@
             timeline.max_lateness = timeline.max_lateness.max(by);
         }
     }
+    let mut recipients = ListRecipients::default();
     for line in &history.lines {
         timeline.on_event(line.at, &line.event);
+        if recipients.is_for_ended_process(line.at, &line.event) {
+            continue;
+        }
         checkers
             .iter_mut()
             .for_each(|checker| checker.on_event(line.at, &line.event, &timeline, &mut violations));
--- a/crates/process-tests/src/cluster/balancer_config.rs
+++ b/crates/process-tests/src/cluster/balancer_config.rs
@@ -72,7 +72,13 @@
             ListedEndpoint { server, state: row["state"].as_str().unwrap_or_default().to_string(), started }
         });
         let version = known["version"].as_u64().unwrap_or(0);
-        Event::ListSent { node: node.to_string(), version, whole: true, rows: rows.collect() }
+        Event::ListSent {
+            node: node.to_string(),
+            connected_at: None,
+            version,
+            whole: true,
+            rows: rows.collect(),
+        }
     }
 }
 
--- a/crates/process-tests/src/history/tests.rs
+++ b/crates/process-tests/src/history/tests.rs
@@ -53,6 +53,7 @@
             r#"{"at":1,"what":"told","node":"n0","version":1,"whole":true,"#,
             r#""rows":[{"server":"u0","state":"active","started":0}]}"#
         ),
+        r#"{"at":1,"what":"told","node":"n0","connected":1,"version":1,"whole":true,"rows":[]}"#,
         r#"{"at":1,"what":"listed","server":"u0","state":"left"}"#,
         r#"{"at":1,"what":"process","node":"n0","id":1,"did":"started"}"#,
         r#"{"at":1,"what":"process","node":"n0","id":1,"did":"ready"}"#,
--- a/crates/test-servers/src/discovery_service.rs
+++ b/crates/test-servers/src/discovery_service.rs
@@ -41,6 +41,16 @@
 /// Returns the address at which a balancer (first name) reaches an endpoint (second name).
 pub type AddressResolver = Arc<dyn Fn(&str, &str) -> SocketAddr + Send + Sync>;
 
+/// A list as a balancer gets it.
+struct RenderedList {
+    version: u64,
+    /// False if it holds only changes.
+    whole: bool,
+    rows: Vec<ListedEndpoint>,
+    /// The body of the response.
+    text: String,
+}
+
 /// A running or stopped discovery service.
 pub struct DiscoveryService {
     /// The address at which it listens.
@@ -135,6 +145,7 @@
     }
 
     async fn serve_connection(self: Arc<Self>, stream: TcpStream, node: String) {
+        let connected_at = self.clock.now();
         let _ = stream.set_nodelay(true);
         let (reader, mut writer) = stream.into_split();
         let mut reader = MessageReader::new(reader, MessageKind::Request);
@@ -165,16 +176,23 @@
                 let mut versions = self.version_updates.subscribe();
                 let _ = tokio::time::timeout(wait, versions.wait_for(|version| *version != after)).await;
             }
-            let (event, text) = self.render_list(&node, after);
-            self.events.record(event);
+            let list = self.render_list(&node, after);
+            let text = list.text;
+            self.events.record(Event::ListSent {
+                node: node.clone(),
+                connected_at: Some(connected_at),
+                version: list.version,
+                whole: list.whole,
+                rows: list.rows,
+            });
             if writer.write_all(&response("200 OK", "", text.as_bytes())).await.is_err() {
                 return;
             }
         }
     }
 
-    /// Renders the full list for a balancer, or the changes after a version, with the event to record.
-    fn render_list(&self, node: &str, after: Option<u64>) -> (Event, String) {
+    /// Renders the full list for a balancer, or the changes after a version.
+    fn render_list(&self, node: &str, after: Option<u64>) -> RenderedList {
         let state = self.state();
         // A version that this service has not reached yet is from an earlier run of it: the full list is
         // sent.
@@ -199,11 +217,11 @@
         let (version, whole) = (state.version, after.is_none());
         let rows = entries.iter().map(to_row).collect();
         let text = json!({"version": version, "full": whole, "servers": servers}).to_string();
-        (Event::ListSent { node: node.to_string(), version, whole, rows }, text)
+        RenderedList { version, whole, rows, text }
     }
 
     /// Returns the full list as a balancer's configuration holds it.
     pub fn full_list(&self, node: &str) -> Value {
-        serde_json::from_str(&self.render_list(node, None).1).expect("the rendered list is JSON")
+        serde_json::from_str(&self.render_list(node, None).text).expect("the rendered list is JSON")
     }
 }
--- a/crates/test-servers/src/events.rs
+++ b/crates/test-servers/src/events.rs
@@ -205,6 +205,10 @@
     ListSent {
         /// The balancer.
         node: String,
+        /// When the balancer's connection was opened. `None` for the list of its configuration, which is
+        /// recorded before its process is started.
+        #[serde(rename = "connected", default, skip_serializing_if = "Option::is_none")]
+        connected_at: Option<Micros>,
         /// The version of the list.
         version: u64,
         /// False if it holds only changes.
