--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -112,8 +112,9 @@
     report.record(&format!("used after restart: {}", endpoints_used(&balancer, &trace, 10)));
     report.record(&format!("attach: {}", post(admin, "/_upstreams/attach", "a")));
     report.record(&format!("attach again: {}", post(admin, "/_upstreams/attach", "a")));
-    report.record(&format!("used: {}", endpoints_used(&balancer, &trace, 20)));
+    // Before a request: an endpoint that responds slowly, as on a busy machine, is ejected by outlier detection.
     gauges(&report, admin);
+    report.record(&format!("used: {}", endpoints_used(&balancer, &trace, 20)));
     report.assert_matches(expect![[r#"
         detach: 200
         detach: 200
@@ -122,8 +123,8 @@
         used after restart: B
         attach: 200
         attach again: 200
-        used: A B
         listed 2 unhealthy 0
+        used: A B
     "#]]);
 }
 
@@ -239,7 +240,10 @@
     let mut outcomes = String::new();
     for seed in 0..4_u64 {
         let trace = Trace::default();
-        let (balancer, admin) = start_with_admin_api(&two_endpoints(&trace));
+        // A hedged attempt that is cancelled before its endpoint has read it would be counted by the balancer alone.
+        let mut config = config(&two_endpoints(&trace), closing_service(), 256);
+        config["settings"]["limits"]["second_copies"] = json!(false);
+        let (balancer, admin) = start_with_admin_api_from(config);
         let mut rng = doorproxy::rng::Pcg::new(seed);
         let mut seen: BTreeMap<String, i64> = BTreeMap::new();
         for id in 0..40 {
@@ -262,6 +266,8 @@
             };
             *seen.entry(format!("{outcome}.{category}")).or_default() += 1;
         }
+        // A client has its last byte a moment before the balancer counts the request as finished.
+        wait_until("the end of the last request", || metrics(admin)["current"] == 0);
         let values = metrics(admin);
         for (name, count) in values.iter().filter(|(name, _)| name.contains('.')) {
             assert_eq!(*count, seen.get(name).copied().unwrap_or(0), "{name} of seed {seed}");
