Send the long body in fewer steps, and use each connection of the stop test at once

Both tests failed on a busy machine only. Traced, beside 24 busy processes:

long_body_stops_streaming_after_disconnect, 8 of 16 failed, 8 at once, 64 of 64, 32 at once: the test sent 4 MB in steps of 16 KB, each with several readings of /proc/net/tcp; that took longer than the 20 s that its endpoint waits for the end, the endpoint closed, and so did the balancer. A smaller receive buffer at the endpoint was tried and dropped: 12 of 16 failed, as the rest then takes more than 20 s to read.

requests_from_before_resume_expire_however_slowly_read, 16 of 64 failed in its first request: the test opened 300 connections before it used one, and an unused one is closed after 2.5 s.

--- a/crates/cli/tests/gone.rs
+++ b/crates/cli/tests/gone.rs
@@ -30,6 +30,18 @@
     usize::from_str_radix(queues.split_once(':').unwrap().1, 16).unwrap()
 }
 
+/// Returns whether the other side leaves bytes unread for a while.
+fn stay_unread(stream: &TcpStream) -> bool {
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(200) {
+        if unread_bytes(stream) == 0 {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    true
+}
+
 /// Sends a request on a new connection and records its answer. The balancer reads it after whatever came
 /// before, so it has had the chance to act on an earlier disconnect.
 fn record_next_request(balancer: &Balancer, trace: &Trace) {
@@ -115,12 +127,8 @@
     // The balancer buffers this much before it starts to forward.
     writer.write_all(&[b'x'; 1 << 17]).unwrap();
     trace.wait_for("A: request started");
-    while unread_bytes(stream) == 0 {
-        writer.write_all(&[b'x'; 1 << 14]).unwrap();
-        let written = Instant::now();
-        while unread_bytes(stream) > 0 && written.elapsed() < Duration::from_millis(100) {
-            thread::sleep(Duration::from_millis(1));
-        }
+    while !stay_unread(stream) {
+        writer.write_all(&[b'x'; 1 << 16]).unwrap();
     }
     stream.shutdown(Shutdown::Write).unwrap();
     // The endpoint reads nothing until the balancer has closed the client's connection. Without detection
@@ -188,9 +196,11 @@
     let connect = || (0..REQUEST_COUNT).map(|_| Client::new(&balancer)).collect::<Vec<_>>();
     let mut clients = Vec::new();
     if !on_new_connections {
-        clients = connect();
-        for (id, client) in clients.iter_mut().enumerate() {
+        // Each is used at once: an unused connection is closed after 2.5 s.
+        for id in 0..REQUEST_COUNT {
+            let mut client = Client::new(&balancer);
             assert!(read_message(&mut client.get("/", &format!("first-{id}")).0).is_some());
+            clients.push(client);
         }
     }
     balancer.signal("STOP");
