Date input of before two stalls to the first, also while no tick has recorded the second

What callers saw: a balancer that was stopped twice in a row sent requests on after their deadline; their clients got 200 or 502 too late.

Cause: earliest_arrival answered with the start of a stall that no tick has recorded yet before it looked whether input of an earlier one is still unread, which then got its whole time again.

The new unit test failed before (10000 in place of 500).

Why this fix works: while input of before a recorded stall is unread, the start of that stall is the answer; tick joined the two already.

--- a/crates/balancer/src/runtime/stall_detector.rs
+++ b/crates/balancer/src/runtime/stall_detector.rs
@@ -45,11 +45,11 @@
     /// had arrived by `caught_up_to` has been read. A process may take seconds to read a long backlog after a
     /// stall.
     pub fn earliest_arrival(&mut self, now: Timestamp, caught_up_to: Timestamp) -> Timestamp {
-        if now - self.last_tick > STALL_THRESHOLD {
-            // A stall has ended that no tick has recorded yet.
-            return self.last_tick;
-        }
         self.last_stall = self.last_stall.filter(|stall| caught_up_to < stall.ended_at);
-        self.last_stall.map_or(now, |stall| stall.started_at)
+        if let Some(stall) = self.last_stall {
+            return stall.started_at;
+        }
+        // A stall may have ended that no tick has recorded yet.
+        if now - self.last_tick > STALL_THRESHOLD { self.last_tick } else { now }
     }
 }
--- a/crates/balancer/tests/stall_detector.rs
+++ b/crates/balancer/tests/stall_detector.rs
@@ -43,3 +43,17 @@
     // The stall is over once all its input has been read, even if an earlier time is passed later.
     assert_eq!(detector.earliest_arrival(Timestamp(60_200), Timestamp(0)), Timestamp(60_200));
 }
+
+/// Detects input from before a first stall that gets the start of a second one as its arrival time, because no tick
+/// has recorded the second yet: its request would be sent after its deadline.
+#[test]
+fn input_from_before_two_stalls_arrived_before_the_first() {
+    let mut detector = StallDetector::new(Timestamp(0));
+    detector.tick(Timestamp(500));
+    detector.tick(Timestamp(10_000));
+    // Since the first stall the process was stopped again before it had read everything.
+    let unread_since = Timestamp(400);
+    assert_eq!(detector.earliest_arrival(Timestamp(16_000), unread_since), Timestamp(500));
+    // Once everything of before the end of the first stall is read, only the second counts.
+    assert_eq!(detector.earliest_arrival(Timestamp(16_000), Timestamp(10_000)), Timestamp(10_000));
+}
