Forget a stall once its input is read, also if no request was read since

What callers saw: 503 for a request that arrived while the balancer was stopped and had its time left. The balancer had been stopped once before, and no client had sent anything in between.

Cause: the detector forgot a stall only when a request was read after it. Without one, tick took the next stall for a part of it, and dated what came during the second to the start of the first.

Why this fix works: each tick, every 50 ms, forgets a stall of which all input has been read (Runtime::caught_up_to).

--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -140,7 +140,11 @@
     }
 
     fn detect_stall(&self) {
-        let stall = lock(&self.stall_detector).tick(self.runtime.now());
+        let stall = {
+            let mut detector = lock(&self.stall_detector);
+            detector.forget_read_input(self.runtime.caught_up_to());
+            detector.tick(self.runtime.now())
+        };
         if let Some(stall) = stall {
             log_line!(self.runtime, "server: process was stopped or got no CPU time for {} ms", stall.0 / 10);
         }
--- a/crates/balancer/src/runtime/stall_detector.rs
+++ b/crates/balancer/src/runtime/stall_detector.rs
@@ -41,11 +41,16 @@
         is_stall.then_some(gap)
     }
 
+    /// Forgets the last stall if all input that had arrived by `caught_up_to`, and so by its end, has been read.
+    pub fn forget_read_input(&mut self, caught_up_to: Timestamp) {
+        self.last_stall = self.last_stall.filter(|stall| caught_up_to < stall.ended_at);
+    }
+
     /// Returns the earliest time at which input that is read now can have arrived, given that all input that
     /// had arrived by `caught_up_to` has been read. A process may take seconds to read a long backlog after a
     /// stall.
     pub fn earliest_arrival(&mut self, now: Timestamp, caught_up_to: Timestamp) -> Timestamp {
-        self.last_stall = self.last_stall.filter(|stall| caught_up_to < stall.ended_at);
+        self.forget_read_input(caught_up_to);
         if let Some(stall) = self.last_stall {
             return stall.started_at;
         }
--- a/crates/cli/tests/gone.rs
+++ b/crates/cli/tests/gone.rs
@@ -240,3 +240,35 @@
 fn connections_queued_before_resume_expire() {
     requests_from_before_resume_are_rejected(true);
 }
+
+/// Detects a request that is dated to an earlier stop of the process than the one in which it arrived, and so
+/// rejected as expired: nothing was read in between.
+#[test]
+fn request_in_a_second_stop_is_not_dated_to_the_first() {
+    let trace = Trace::default();
+    let balancer = start(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    client.get("/", "1").record_answer(&trace);
+    let stop = || {
+        balancer.signal("STOP");
+        thread::sleep(Duration::from_millis(700));
+    };
+    let count_stalls = |log: &str| log.matches("server: process was stopped or got no CPU time for").count();
+    stop();
+    balancer.signal("CONT");
+    balancer.log.wait_until("the first stall", |log| count_stalls(log) == 1);
+    thread::sleep(Duration::from_millis(2500));
+    stop();
+    // Its time is longer than the second stop and shorter than the time since the first.
+    let headers = request_headers("2", "look").replace("30000", "2500");
+    client.send(&format!("GET / HTTP/1.1\r\n{headers}\r\n"));
+    balancer.signal("CONT");
+    client.record_answer(&trace);
+    balancer.log.wait_until("the second stall", |log| count_stalls(log) == 2);
+    trace.assert_matches(expect![[r#"
+        A: GET / HTTP/1.1 id 1 body ""
+        client: 200 "well", x-kept as it came
+        A: GET / HTTP/1.1 id 2 body ""
+        client: 200 "well", x-kept as it came
+    "#]]);
+}
