Drop try_send from the stream trait, which only a mutant used

Since error responses are written with poll_send, no server calls Stream::try_send. The mutants that replace what they send use poll_send too. Four implementations go, and the simulation's stream has one way to write.

--- a/crates/balancer/src/runtime.rs
+++ b/crates/balancer/src/runtime.rs
@@ -119,13 +119,6 @@
     /// Writes the buffers in order, and returns how many bytes were written.
     fn poll_send(&self, cx: &mut Context, bytes: &[IoSlice]) -> Poll<io::Result<usize>>;
 
-    /// Writes as many bytes as the send buffer takes without waiting, and returns their number.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the send buffer is full or the connection is broken.
-    fn try_send(&self, bytes: &[u8]) -> io::Result<usize>;
-
     /// Shuts down the writing side once everything that was written is sent.
     fn shutdown_write(&self);
 
--- a/crates/balancer/src/runtime/system.rs
+++ b/crates/balancer/src/runtime/system.rs
@@ -201,10 +201,6 @@
         }
     }
 
-    fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.inner().try_write(bytes)
-    }
-
     fn shutdown_write(&self) {
         let _ = SockRef::from(self.0.inner()).shutdown(Shutdown::Write);
     }
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -168,12 +168,6 @@
         Poll::Ready(Ok(written))
     }
 
-    fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
-        let mut pipe = self.pipe();
-        pipe.output.extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
     fn shutdown_write(&self) {
         self.pipe().is_output_ended = true;
     }
--- a/crates/process-tests/src/bin/mutant.rs
+++ b/crates/process-tests/src/bin/mutant.rs
@@ -12,7 +12,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -293,7 +293,8 @@
             return false;
         };
         if !replacement.is_empty() {
-            let _ = self.stream.try_send(&replacement);
+            let mut context = Context::from_waker(Waker::noop());
+            let _ = self.stream.poll_send(&mut context, &[IoSlice::new(&replacement)]);
         }
         true
     }
@@ -324,10 +325,6 @@
         self.send_or_replace(bytes, || self.stream.poll_send(cx, bytes))
     }
 
-    fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.try_send(bytes)
-    }
-
     fn shutdown_write(&self) {
         self.stream.shutdown_write();
     }
--- a/crates/simulation/src/stream.rs
+++ b/crates/simulation/src/stream.rs
@@ -81,8 +81,8 @@
         self.runtime.simulation.state().network.peer_host(self.socket).unwrap_or(HostId(0))
     }
 
-    fn send_with_hooks(&self, cx: Option<&mut Context>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let written = self.runtime.simulation.state().poll_send(cx, self.socket, bytes);
+    fn send_with_hooks(&self, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = self.runtime.simulation.state().poll_send(Some(cx), self.socket, bytes);
         if let (Some(hooks), Poll::Ready(Ok(written))) = (&self.runtime.hooks, &written) {
             hooks.on_sent(self, &bytes[..*written]);
         }
@@ -116,14 +116,7 @@
         {
             return Poll::Ready(Ok(written));
         }
-        self.send_with_hooks(Some(cx), bytes)
-    }
-
-    fn try_send(&self, bytes: &[u8]) -> io::Result<usize> {
-        match self.send_with_hooks(None, bytes) {
-            Poll::Ready(written) => written,
-            Poll::Pending => Err(io::ErrorKind::WouldBlock.into()),
-        }
+        self.send_with_hooks(cx, bytes)
     }
 
     fn shutdown_write(&self) {
