Bound how long a call past its deadline waits for input to be read

An event loop that is never idle reports no such time (the runtime's hooks run when it parks), so a balancer without a spare moment would not have noticed a discovery service that hangs. Found on rereading; no run showed it.

--- a/crates/balancer/src/discovery/watch.rs
+++ b/crates/balancer/src/discovery/watch.rs
@@ -2,7 +2,6 @@
 //! failure, the dispatcher decides when to continue.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::{Arc, Mutex};
 
 use axum::BoxError;
@@ -10,7 +9,7 @@
 use axum::http::{StatusCode, Uri};
 use bytes::Bytes;
 use doorproxy::dispatcher::{DiscoveryEvent, Dispatcher};
-use doorproxy::ids::{Ticks, Timestamp};
+use doorproxy::ids::Ticks;
 use doorproxy::settings::DiscoveryTiming;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::{self, Client};
@@ -31,8 +30,6 @@
 /// Sets the minimum interval between requests, since the watches of a service may return at once without
 /// changes.
 const MIN_POLL_INTERVAL: Ticks = Ticks(1000);
-/// Interval at which a request past its deadline checks whether all input has been read.
-const READ_INTERVAL: Ticks = Ticks(10);
 const LIST_PATH: &str = "/api/targets";
 
 /// States why a request to the discovery service failed.
@@ -146,25 +143,9 @@
             limit = timing.watch_timeout();
         }
         let uri: Uri = uri.parse()?;
-        let response = self.response_by(self.runtime.now() + limit, get_list(client, uri)).await;
+        let response = self.runtime.timeout_at(self.runtime.now() + limit, get_list(client, uri)).await;
         response.unwrap_or(Err(DiscoveryError::Timeout))
     }
-
-    /// Returns the response of `call`, or `None` if it has not arrived by `deadline`. After the process was
-    /// stopped, a response that arrived in time may not have been read yet when the deadline is noticed.
-    async fn response_by<F: Future + Send>(&self, deadline: Timestamp, call: F) -> Option<F::Output>
-    where
-        F::Output: Send,
-    {
-        let mut call = pin!(call);
-        loop {
-            let limit = self.runtime.time_until(deadline).max(duration(READ_INTERVAL));
-            let response = self.runtime.timeout(limit, call.as_mut()).await;
-            if response.is_some() || self.runtime.caught_up_to() >= deadline {
-                return response;
-            }
-        }
-    }
 }
 
 async fn get_list<R: Runtime>(client: &DiscoveryClient<R>, uri: Uri) -> Result<EndpointList, DiscoveryError> {
--- a/crates/balancer/src/runtime.rs
+++ b/crates/balancer/src/runtime.rs
@@ -12,6 +12,7 @@
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,12 @@
 pub use self::hyper::HyperRuntime;
 pub use inherit::{InheritError, inherit_listener};
 
+/// Maximum time that a call past its deadline waits for its input to be read: a saturated event loop may never
+/// have read all of it.
+const MAX_READ_TIME: Ticks = Ticks(3_000);
+/// Interval at which such a call checks whether all input has been read.
+const READ_INTERVAL: Ticks = Ticks(10);
+
 /// States what is traced in the log, for finding faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TraceTopic {
@@ -108,6 +115,28 @@
             }
         }
     }
+
+    /// Returns the output of `call`, or drops `call` and returns `None` if it has none by `deadline`. After the
+    /// process was stopped, input that came in time may be read only after the deadline. It still counts, unless
+    /// reading all input takes too long.
+    fn timeout_at<F: Future + Send>(
+        &self,
+        deadline: Timestamp,
+        call: F,
+    ) -> impl Future<Output = Option<F::Output>> + Send
+    where
+        F::Output: Send,
+    {
+        async move {
+            let mut call = pin!(call);
+            let mut output = self.timeout(self.time_until(deadline), call.as_mut()).await;
+            let read_until = self.now() + MAX_READ_TIME;
+            while output.is_none() && self.caught_up_to() < deadline && self.now() < read_until {
+                output = self.timeout(duration(READ_INTERVAL), call.as_mut()).await;
+            }
+            output
+        }
+    }
 }
 
 /// Reads and writes one connection. The HTTP libraries use it through hyper's traits; tasks that share a
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -18,11 +18,13 @@
 #[derive(Clone)]
 pub struct TestRuntime {
     started_at: tokio::time::Instant,
+    /// The time up to which all input has been read; `None` if that is always now.
+    pub caught_up_to: Option<Timestamp>,
 }
 
 impl TestRuntime {
     pub fn start() -> TestRuntime {
-        TestRuntime { started_at: tokio::time::Instant::now() }
+        TestRuntime { started_at: tokio::time::Instant::now(), caught_up_to: None }
     }
 }
 
@@ -39,7 +41,7 @@
     }
 
     fn caught_up_to(&self) -> Timestamp {
-        self.now()
+        self.caught_up_to.unwrap_or(self.now())
     }
 
     fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
