--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -140,11 +140,7 @@
     }
 
     fn detect_stall(&self) {
-        let stall = {
-            let mut detector = lock(&self.stall_detector);
-            detector.forget_read_input(self.runtime.caught_up_to());
-            detector.tick(self.runtime.now())
-        };
+        let stall = lock(&self.stall_detector).tick(self.runtime.now(), self.runtime.caught_up_to());
         if let Some(stall) = stall {
             log_line!(self.runtime, "server: process was stopped or got no CPU time for {} ms", stall.0 / 10);
         }
--- a/crates/balancer/src/runtime/stall_detector.rs
+++ b/crates/balancer/src/runtime/stall_detector.rs
@@ -28,8 +28,10 @@
         StallDetector { last_tick: now, last_stall: None }
     }
 
-    /// Records a tick, and returns the length of the stall that ends now, if there was one.
-    pub fn tick(&mut self, now: Timestamp) -> Option<Ticks> {
+    /// Records a tick, and returns the length of the stall that ends now, if there was one. All input that had
+    /// arrived by `caught_up_to` has been read.
+    pub fn tick(&mut self, now: Timestamp, caught_up_to: Timestamp) -> Option<Ticks> {
+        self.forget_read_input(caught_up_to);
         let gap = now - self.last_tick;
         let is_stall = gap > STALL_THRESHOLD;
         if is_stall {
@@ -42,7 +44,7 @@
     }
 
     /// Forgets the last stall if all input that had arrived by `caught_up_to`, and so by its end, has been read.
-    pub fn forget_read_input(&mut self, caught_up_to: Timestamp) {
+    fn forget_read_input(&mut self, caught_up_to: Timestamp) {
         self.last_stall = self.last_stall.filter(|stall| caught_up_to < stall.ended_at);
     }
 
--- a/crates/process-tests/src/checkers/list_recipients.rs
+++ b/crates/process-tests/src/checkers/list_recipients.rs
@@ -14,7 +14,7 @@
     Ended,
 }
 
-/// Tells lists for the current process of a balancer from those for an earlier one.
+/// Distinguishes lists for the current process of a balancer from those for an earlier one.
 #[derive(Default)]
 pub struct ListRecipients {
     by_balancer: BTreeMap<String, Recipient>,
