Hold a permit until the end of every time that a caller was told

Change: `CallerGrants` (crates/leases) holds what each caller was told and alone says for how long the lease is needed. A told time ends early only if its caller gives it back: callers may have names (--caller); of calls without one, each is given back by itself. Giving up a wait is a call of its own, /_permits/cancel. The decision to release and the end of telling times are one step under the lock. The release waits for the clock drift of the caller, and printed times are rounded down.

Tests: a body "NAME SECONDS WORD" names a caller now; the parser's test has a fourth word as the invalid one. The workers of the process tests name themselves, so that they give back at once what several calls were told.

--- a/crates/balancer/src/admin/error.rs
+++ b/crates/balancer/src/admin/error.rs
@@ -34,8 +34,8 @@
     /// The body is not the name of one endpoint.
     #[error("body: not an endpoint name; expected exactly one")]
     ExpectedEndpoint,
-    /// The body is not a permit's name with an optional time.
-    #[error("body: not a permit request; expected NAME or NAME SECONDS")]
+    /// The body is not a permit's name with an optional time and an optional caller.
+    #[error("body: not a permit request; expected NAME, NAME SECONDS or NAME SECONDS CALLER")]
     ExpectedPermit,
     /// The endpoint is restored on this balancer, but a fleet override still ejects it.
     #[error("endpoint {0:?} is restored on this balancer, but a fleet override still ejects it")]
--- a/crates/balancer/src/admin/routes.rs
+++ b/crates/balancer/src/admin/routes.rs
@@ -8,10 +8,12 @@
 use axum::http::StatusCode;
 use axum::routing::{get, post};
 use doorproxy::ids::Ticks;
+use doorproxy_leases::caller_grants::Caller;
 use http_body_util::{BodyExt, Limited};
 use serde_json::json;
 
 use crate::admin::{AdminApi, AdminError, OverrideAction};
+use crate::permits::{PermitAction, PermitCall};
 use crate::runtime::Runtime;
 
 /// Limits the size of a body in bytes; every endpoint name is shorter.
@@ -29,7 +31,8 @@
         .route("/_recovery", get(recovery::<R>))
         .route("/_members", get(members::<R>))
         .route("/_permits/take", post(acquire_permit::<R>))
-        .route("/_permits/back", post(release_permit::<R>))
+        .route("/_permits/back", post(give_permit_back::<R>))
+        .route("/_permits/cancel", post(stop_waiting_for_permit::<R>))
         .route("/_upstreams/detach", post(eject::<R>))
         .route("/_upstreams/attach", post(restore::<R>))
         .route("/_fleet/detach", post(eject_in_fleet::<R>))
@@ -63,8 +66,12 @@
     handle_permit(&api, request, PermitAction::Acquire).await
 }
 
-async fn release_permit<R: Runtime>(State(api): ApiState<R>, request: Request) -> ApiResult {
-    handle_permit(&api, request, PermitAction::Release).await
+async fn give_permit_back<R: Runtime>(State(api): ApiState<R>, request: Request) -> ApiResult {
+    handle_permit(&api, request, PermitAction::GiveBack).await
+}
+
+async fn stop_waiting_for_permit<R: Runtime>(State(api): ApiState<R>, request: Request) -> ApiResult {
+    handle_permit(&api, request, PermitAction::StopWaiting).await
 }
 
 async fn eject<R: Runtime>(State(api): ApiState<R>, request: Request) -> ApiResult {
@@ -83,21 +90,12 @@
     handle_fleet_override(&api, request, OverrideAction::Restore).await
 }
 
-#[derive(Clone, Copy)]
-enum PermitAction {
-    Acquire,
-    Release,
-}
-
 async fn handle_permit<R: Runtime>(api: &AdminApi<R>, request: Request, action: PermitAction) -> ApiResult {
     let body = read_body(request).await;
-    let PermitRequest { name, renewal } = parse_permit_request(&body).ok_or(AdminError::ExpectedPermit)?;
+    let call = parse_permit_call(&body, action).ok_or(AdminError::ExpectedPermit)?;
     let now = api.runtime.now();
-    let status = api.peers.as_ref().and_then(|peers| match action {
-        PermitAction::Acquire => peers.request_permit(now, name, renewal),
-        PermitAction::Release => peers.release_permit(now, name),
-    });
-    let status = status.ok_or_else(|| AdminError::UnknownPermit(name.to_string()))?;
+    let status = api.peers.as_ref().and_then(|peers| peers.call_permit(now, &call));
+    let status = status.ok_or_else(|| AdminError::UnknownPermit(call.name.to_string()))?;
     Ok(format!("{status}\n"))
 }
 
@@ -133,25 +131,17 @@
     body.map(|body| body.to_bytes()).unwrap_or_default()
 }
 
-/// Holds the parameters of a permit call.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PermitRequest<'a> {
-    /// Names the permit.
-    pub name: &'a str,
-    /// Holds the time for which the permit's lease is to be renewed.
-    pub renewal: Ticks,
-}
-
-/// Parses a body of the form `NAME` or `NAME SECONDS`.
-pub fn parse_permit_request(body: &[u8]) -> Option<PermitRequest<'_>> {
+/// Parses a body of the form `NAME`, `NAME SECONDS` or `NAME SECONDS CALLER`.
+pub fn parse_permit_call(body: &[u8], action: PermitAction) -> Option<PermitCall<'_>> {
     let mut words = std::str::from_utf8(body).ok()?.split_ascii_whitespace();
     let name = words.next()?;
     let seconds = match words.next() {
         None => 0.0,
         Some(text) => text.parse().ok().filter(|seconds| (0.0..=MAX_PERMIT_SECONDS).contains(seconds))?,
     };
+    let caller = words.next().map_or(Caller::Unnamed, |name| Caller::Named(name.to_string()));
     let renewal = Ticks::from_secs_f64(seconds);
-    words.next().is_none().then_some(PermitRequest { name, renewal })
+    words.next().is_none().then_some(PermitCall { name, caller, action, renewal })
 }
 
 /// Parses the name of exactly one endpoint, which may be surrounded by white space.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod metrics;
 pub mod peers;
+pub mod permits;
 pub mod readiness;
 pub mod recovery;
 pub mod runtime;
--- a/crates/balancer/tests/admin_parsing.rs
+++ b/crates/balancer/tests/admin_parsing.rs
@@ -1,27 +1,32 @@
 //! Tests the parsers for the bodies of calls to the admin API.
 
-use doorproxy_balancer::admin::routes::{parse_endpoint_name, parse_permit_request};
+use doorproxy_balancer::admin::routes::{parse_endpoint_name, parse_permit_call};
+use doorproxy_balancer::permits::PermitAction;
+use doorproxy_leases::caller_grants::Caller;
 
 #[test]
-fn permit_body_is_a_name_with_optional_seconds() {
+fn permit_body_is_a_name_with_optional_seconds_and_caller() {
     let bodies = [
         "restart",
         " restart 60\n",
         "restart 1.5",
+        "restart 1 deploy-7",
         "",
         "restart x",
         "restart -1",
-        "restart 1 2",
+        "restart 1 2 3",
         "restart nan",
     ];
     let parsed = bodies.map(|body| {
-        parse_permit_request(body.as_bytes()).map(|request| format!("{} {}", request.name, request.renewal.0))
+        let call = parse_permit_call(body.as_bytes(), PermitAction::Acquire)?;
+        assert_eq!(call.action, PermitAction::Acquire);
+        Some((call.name, call.renewal.0, call.caller))
     });
-    let valid = |text: &str| Some(text.to_string());
-    assert_eq!(
-        parsed,
-        [valid("restart 0"), valid("restart 600000"), valid("restart 15000"), None, None, None, None, None]
-    );
+    let unnamed = |renewal| Some(("restart", renewal, Caller::Unnamed));
+    let named = Some(("restart", 10_000, Caller::Named("deploy-7".to_string())));
+    let valid = [unnamed(0), unnamed(600_000), unnamed(15_000), named];
+    assert_eq!(parsed[..4], valid);
+    assert_eq!(parsed[4..], [const { None }; 5]);
 }
 
 #[test]
--- a/crates/cli/src/leases.rs
+++ b/crates/cli/src/leases.rs
@@ -120,7 +120,7 @@
         let mut outgoing = Vec::new();
         let mut next_at = now + MAX_TICK_INTERVAL;
         for (name, permit) in &mut self.permits {
-            let is_requested = is_requested(&self.peer_state, name, now);
+            let is_requested = decide_renewal(&self.peer_state, name, now);
             permit.choose_slot(now, is_requested);
             for (index, slot) in permit.slots.iter_mut().enumerate() {
                 let request = match slot.request() {
@@ -163,10 +163,7 @@
         for (name, permit) in &mut self.permits {
             let Some(shared) = shared_permits.get_mut(name) else { continue };
             let held = permit.slots.iter().find_map(|slot| slot.held(now));
-            // A released permit counts as not held, even before its release has reached the replicas.
-            let held = held.filter(|_| shared.requested_until.is_some());
-            shared.lease = held.map(|held| (held.token.0, held.expires_at));
-            shared.reason = permit.describe_wait(now);
+            shared.publish(held, permit.describe_wait(now));
             let token = held.map(|held| held.token.0);
             if token != permit.logged_token {
                 log_change(self.runtime, name, token);
@@ -196,10 +193,9 @@
     LeaseClient::new(now, seed, holder, lease, duration, FencingToken(holder.incarnation.0))
 }
 
-fn is_requested(peer_state: &SharedPeerState, name: &str, now: Timestamp) -> bool {
-    let permits = peer_state.permits();
-    let requested_until = permits.get(name).and_then(|permit| permit.requested_until);
-    requested_until.is_some_and(|until| now < until)
+fn decide_renewal(peer_state: &SharedPeerState, name: &str, now: Timestamp) -> bool {
+    let mut permits = peer_state.permits();
+    permits.get_mut(name).is_some_and(|permit| permit.decide_renewal(now))
 }
 
 fn log_change(runtime: SystemRuntime, name: &str, token: Option<u64>) {
--- a/crates/cli/src/permit_command.rs
+++ b/crates/cli/src/permit_command.rs
@@ -11,8 +11,11 @@
 use crate::exit::{Answer, CommandResult};
 
 const ACQUIRE_PATH: &str = "/_permits/take";
-const RELEASE_PATH: &str = "/_permits/back";
+const GIVE_BACK_PATH: &str = "/_permits/back";
+const STOP_WAITING_PATH: &str = "/_permits/cancel";
 const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The precision of printed times. They are rounded down, since the permit ends at the printed time.
+const PRINTED_TENTHS_PER_SECOND: f64 = 10.0;
 
 /// Acquire a permit through a running balancer. The fleet file limits how many hold it at a time.
 #[derive(FromArgs)]
@@ -31,11 +34,25 @@
     /// this call)
     #[argh(option, default = "0.0")]
     keep: f64,
-    /// release the permit instead
+    /// a name of the calling script without white space; needed to give a permit back at once if several
+    /// scripts use the same balancer, or if a script has called more than once
+    #[argh(option)]
+    caller: Option<String>,
+    /// give the permit back instead
     #[argh(switch)]
     back: bool,
 }
 
+impl PermitCommand {
+    fn body(&self) -> String {
+        let PermitCommand { name, keep, .. } = self;
+        match &self.caller {
+            Some(caller) => format!("{name} {keep} {caller}"),
+            None => format!("{name} {keep}"),
+        }
+    }
+}
+
 /// Show the leases that a running balancer knows of.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "leases")]
@@ -48,24 +65,31 @@
     json: bool,
 }
 
-/// Acquires or releases a permit. The answer is yes if the permit is held, or was released as requested.
+/// Acquires or gives back a permit. The answer is yes if the permit is held, or was given back as requested.
 pub fn run(command: &PermitCommand) -> CommandResult {
-    if !command.back {
-        return acquire(command);
+    if command.back { give_back(command) } else { acquire(command) }
+}
+
+fn give_back(command: &PermitCommand) -> CommandResult {
+    let called_at = Instant::now();
+    let status = post_json(command.at, GIVE_BACK_PATH, &command.body())?;
+    match remaining_seconds(&status, called_at) {
+        None => println!("{} is released", command.name),
+        Some(remaining_s) => println!(
+            "{} is given back; it is released in {remaining_s:.1} s, when other callers must have stopped",
+            command.name
+        ),
     }
-    release(command)?;
-    println!("{} is released", command.name);
     Ok(Answer::Yes)
 }
 
-/// Polls the balancer at least once. A permit that is not acquired in time is released, so that the balancer
-/// doesn't acquire it later.
+/// Polls the balancer at least once. If the permit is not acquired in time, the balancer is told that this
+/// caller no longer waits, so that it doesn't acquire the permit later.
 fn acquire(command: &PermitCommand) -> CommandResult {
     let started = Instant::now();
     loop {
         let called_at = Instant::now();
-        let body = format!("{} {}", command.name, command.keep);
-        let status = post_json(command.at, ACQUIRE_PATH, &body)?;
+        let status = post_json(command.at, ACQUIRE_PATH, &command.body())?;
         if let Some(remaining_s) = remaining_seconds(&status, called_at) {
             println!("{} is held under token {}, {remaining_s:.1} s left", command.name, status["token"]);
             return Ok(Answer::Yes);
@@ -73,7 +97,7 @@
         if started.elapsed().as_secs_f64() >= command.wait {
             let reason = status["why"].as_str().unwrap_or_default();
             println!("{} was not acquired within {} s: {reason}", command.name, command.wait);
-            release(command)?;
+            stop_waiting(command);
             return Ok(Answer::No);
         }
         std::thread::sleep(PERMIT_POLL_INTERVAL);
@@ -81,18 +105,20 @@
 }
 
 /// Returns for how many more seconds a permit is held, or `None` if it isn't. The time is counted from before
-/// the call, so the result is never too long.
+/// the call and rounded down, so the result is never too long.
 fn remaining_seconds(status: &Value, called_at: Instant) -> Option<f64> {
     if status["held"] != true {
         return None;
     }
     let remaining_s = status["for_s"].as_f64().unwrap_or(0.0) - called_at.elapsed().as_secs_f64();
-    (remaining_s > 0.0).then_some(remaining_s)
+    let rounded_s = (remaining_s * PRINTED_TENTHS_PER_SECOND).floor() / PRINTED_TENTHS_PER_SECOND;
+    (rounded_s > 0.0).then_some(rounded_s)
 }
 
-fn release(command: &PermitCommand) -> Result<(), CommandError> {
-    post_json(command.at, RELEASE_PATH, &command.name)?;
-    Ok(())
+/// Ends this caller's wait. If the call fails, the balancer stops requesting the permit a few seconds later,
+/// or once `--keep` is over.
+fn stop_waiting(command: &PermitCommand) {
+    let _ = post_json(command.at, STOP_WAITING_PATH, &command.body());
 }
 
 /// Shows the leases that a running balancer knows of.
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -14,6 +14,7 @@
 use doorproxy_balancer::http::server;
 use doorproxy_balancer::log_line;
 use doorproxy_balancer::peers::SharedPeerState;
+use doorproxy_balancer::permits::Permit;
 use doorproxy_balancer::recovery::{RecoveryState, StateOwner};
 use doorproxy_balancer::runtime::system::{self, SystemRuntime};
 use doorproxy_config::fleet::FleetConfig;
@@ -105,8 +106,9 @@
 }
 
 fn shared_peer_state(fleet: &FleetConfig) -> Option<Arc<SharedPeerState>> {
-    fleet.peers.as_ref()?;
-    let permits = fleet.leases.iter().flat_map(|leases| leases.permits.keys().cloned());
+    let peers = fleet.peers.as_ref()?;
+    let names = fleet.leases.iter().flat_map(|leases| leases.permits.keys().cloned());
+    let permits = names.map(|name| (name, Permit::new(peers.clock_drift_ratio)));
     Some(Arc::new(SharedPeerState::new(permits)))
 }
 
--- /dev/null
+++ b/crates/cli/tests/permits.rs
@@ -0,0 +1,153 @@
+//! Permits through real processes: two balancers must not let their callers act at the same time.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::{Value, json};
+
+/// The length of a lease. It is longer than the 5 s for which a balancer requests a permit without `--keep`.
+const LEASE: Duration = Duration::from_secs(8);
+/// How long a caller waits for a permit before the test fails: the replicas' grace period, one lease, and
+/// time for a busy machine.
+const MAX_WAIT: Duration = Duration::from_secs(90);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const PEER_PORT: u16 = 5002;
+const NAMES: [&str; 3] = ["n0", "n1", "n2"];
+const KEY: &str = "7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a";
+
+/// A balancer and the address of its admin API.
+struct Node {
+    _balancer: Balancer,
+    admin: SocketAddr,
+}
+
+/// Returns an address that no other test process uses.
+fn peer_address(ordinal: usize) -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{}:{PEER_PORT}", 100 + ordinal, id >> 8 & 0xff, 1 + (id & 0x7f))
+}
+
+fn write_fleet_file(directory: &Path, ordinal: usize, permits: &[&str]) -> PathBuf {
+    let key = directory.join("key");
+    std::fs::write(&key, KEY).unwrap();
+    let replicas = NAMES.iter().enumerate();
+    let replicas = replicas.map(|(other, name)| format!("{name} = \"{}\"", peer_address(other)));
+    let permits = permits.iter().map(|name| format!("{name} = 1"));
+    let text = format!(
+        "[peers]\ncluster = \"permits\"\nlisten = \"{at}\"\nat = \"{at}\"\nkey = {key:?}\nzone = \"east\"\n\
+         keepers = {{ {} }}\n[leases]\nlength = \"{}s\"\npermits = {{ {} }}\n",
+        replicas.collect::<Vec<_>>().join(", "),
+        LEASE.as_secs(),
+        permits.collect::<Vec<_>>().join(", "),
+        at = peer_address(ordinal),
+    );
+    let path = directory.join(format!("n{ordinal}.toml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn start_fleet(directory: &Path, permits: &[&str]) -> Vec<Node> {
+    let start = |(ordinal, name): (usize, &&str)| {
+        let fleet = write_fleet_file(directory, ordinal, permits);
+        let mut config = config(&[], closing_service(), 256);
+        config["name"] = json!(name);
+        config["control"] = json!("127.0.0.1:0");
+        let balancer = start_with_fleet(&config.to_string(), Some(&fleet));
+        balancer.log.wait_for_prefix("admin: listening on ", 1);
+        let text = balancer.log.0.0.lock().unwrap().clone();
+        let admin = text.lines().find_map(|line| line.strip_prefix("admin: listening on ")).unwrap();
+        Node { admin: admin.parse().unwrap(), _balancer: balancer }
+    };
+    NAMES.iter().enumerate().map(start).collect()
+}
+
+/// Calls the admin API for a permit and returns the answer.
+fn call(node: &Node, action: &str, body: &str) -> Value {
+    let mut stream = TcpStream::connect(node.admin).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let length = body.len();
+    write!(stream, "POST /_permits/{action} HTTP/1.1\r\nHost: o\r\nContent-Length: {length}\r\n\r\n{body}")
+        .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    serde_json::from_str(body).unwrap()
+}
+
+/// The time at which a caller was told that it holds a permit, and until when it may act.
+struct Holding {
+    answered_at: Instant,
+    until: Instant,
+}
+
+/// Asks for a permit until the caller is told that it holds it.
+fn acquire(node: &Node, body: &str) -> Holding {
+    let began = Instant::now();
+    loop {
+        let called_at = Instant::now();
+        let answer = call(node, "take", body);
+        let answered_at = Instant::now();
+        if answer["held"] == true {
+            let told = Duration::from_secs_f64(answer["for_s"].as_f64().unwrap());
+            return Holding { answered_at, until: called_at + told };
+        }
+        assert!(began.elapsed() < MAX_WAIT, "{body}: not acquired: {answer}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Runs `doorproxy permit` and returns what it prints.
+fn run_permit_command(node: &Node, arguments: &[&str]) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorproxy"));
+    let output =
+        command.arg("permit").args(arguments).arg("--at").arg(node.admin.to_string()).output().unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Prevents the release of a permit before the time that its caller was told: at the end of `--keep` or of 5 s
+/// without it, when another caller of the balancer asks for a shorter time, or when that one gives it back.
+#[test]
+fn permit_lasts_as_long_as_each_caller_was_told() {
+    let directory = tempfile::tempdir().unwrap();
+    let nodes = start_fleet(directory.path(), &["alone", "shorter", "shared", "command"]);
+    let check = |name: &str, others: fn(&Node, &str), holding: fn(&Node, &str) -> Holding| {
+        let first = holding(&nodes[0], name);
+        others(&nodes[0], name);
+        let second = acquire(&nodes[1], name);
+        let overlap = first.until.saturating_duration_since(second.answered_at);
+        assert!(overlap.is_zero(), "{name}: both callers may act for {overlap:?}");
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| check("alone", |_, _| {}, acquire));
+        scope.spawn(|| check("shorter", ask_for_shorter, |node, name| acquire(node, &format!("{name} 12"))));
+        scope.spawn(|| check("shared", share_and_give_back, acquire));
+        scope.spawn(|| check("command", |_, _| {}, acquire_by_command));
+    });
+}
+
+/// Has a second caller ask for the same permit, without `--keep`.
+fn ask_for_shorter(node: &Node, name: &str) {
+    acquire(node, name);
+}
+
+/// Has a second caller act under the same permit and give it back.
+fn share_and_give_back(node: &Node, name: &str) {
+    acquire(node, name);
+    run_permit_command(node, &[name, "--back"]);
+}
+
+fn acquire_by_command(node: &Node, name: &str) -> Holding {
+    let called_at = Instant::now();
+    let wait = MAX_WAIT.as_secs().to_string();
+    let printed = run_permit_command(node, &[name, "--wait", &wait]);
+    let answered_at = Instant::now();
+    let seconds = printed.rsplit_once(", ").and_then(|(_, rest)| rest.split_once(" s left")).unwrap().0;
+    Holding { answered_at, until: called_at + Duration::from_secs_f64(seconds.parse().unwrap()) }
+}
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -29,6 +29,7 @@
 #![warn(missing_docs)]
 
 pub mod acceptor;
+pub mod caller_grants;
 pub mod lease_client;
 pub mod messages;
 pub mod proposer;
--- a/crates/leases/src/messages.rs
+++ b/crates/leases/src/messages.rs
@@ -182,6 +182,11 @@
 
     /// Returns the time after which, by any clock, a lease of `duration` has expired on its holder's clock.
     pub fn duration_with_drift(&self, duration: Ticks) -> Ticks {
-        Ticks(duration.mul_f64((1.0 + self.clock_drift_ratio) * (1.0 + self.clock_drift_ratio)).0 + 1)
+        stretch_by_drift(duration, self.clock_drift_ratio)
     }
 }
+
+/// Returns the time after which, by any clock, `duration` has passed on any other clock.
+pub fn stretch_by_drift(duration: Ticks, clock_drift_ratio: f64) -> Ticks {
+    Ticks(duration.mul_f64((1.0 + clock_drift_ratio) * (1.0 + clock_drift_ratio)).0 + 1)
+}
--- a/crates/process-tests/src/permit_worker.rs
+++ b/crates/process-tests/src/permit_worker.rs
@@ -18,6 +18,9 @@
 /// The time after which a call is given up; a permit granted later would have expired already.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The caller that the worker names. Without a name, one call could not give back what several were told.
+const CALLER: &str = "worker";
+
 /// A permit that a balancer granted.
 struct Permit {
     token: u64,
@@ -46,7 +49,7 @@
     }
 
     async fn take_permit(&self) -> Option<Permit> {
-        let response = self.call("take", "task 1").await?;
+        let response = self.call("take", &format!("task 1 {CALLER}")).await?;
         let seconds = response["for_s"].as_f64()?;
         Some(Permit { token: response["token"].as_u64()?, duration: (seconds * SECOND as f64) as Micros })
     }
@@ -62,7 +65,7 @@
             if acts_until > now && now >= gives_back_at {
                 self.history.record(Event::PermitReleased { node: self.node.clone() });
                 acts_until = 0;
-                let _ = self.call("back", "task").await;
+                let _ = self.call("back", &format!("task 0 {CALLER}")).await;
                 clock::sleep(rng.random_range(0..SECOND / 2)).await;
                 continue;
             }
