Keep the slot under which callers act when another is acquired late

What callers would see: with a permit of several slots, an earlier proposal for one slot succeeds late while callers act under another. The balancer moved to the first held slot and released the other; the first's lease may end before the time that the callers were told.

Cause: `choose_slot` and `publish` took the first slot that is held, not the current one.

Evidence: `slot_of_callers_is_kept_when_another_is_acquired_late` failed before (slot 0 for 1), and passes.

--- a/crates/cli/src/leases.rs
+++ b/crates/cli/src/leases.rs
@@ -13,7 +13,7 @@
 use doorproxy_leases::acceptor::Acceptor;
 use doorproxy_leases::lease_client::{LeaseClient, Outgoing};
 use doorproxy_leases::messages::{self, Envelope, FencingToken, LeaseId, LeaseRules, ProcessIdentity};
-use doorproxy_leases::proposer::LeaseRequest;
+use doorproxy_leases::proposer::{HeldLease, LeaseRequest};
 use doorproxy_membership::message::NodeId;
 use doorproxy_membership::outgoing::{OutgoingMessage, TickResult};
 use serde_json::{Value, json};
@@ -40,9 +40,17 @@
         Permit { slots, current_slot, logged_token: None }
     }
 
-    /// Keeps a held slot. If another balancer holds the current slot, moves on to the next, which may be
-    /// free.
+    /// Returns the lease of the current slot, under which callers act.
+    fn held(&self, now: Timestamp) -> Option<HeldLease> {
+        self.slots[self.current_slot].held(now)
+    }
+
+    /// Keeps the current slot if it is held, or chooses another that is held. If another balancer holds the
+    /// current slot, moves on to the next, which may be free.
     fn choose_slot(&mut self, now: Timestamp, is_requested: bool) {
+        if self.held(now).is_some() {
+            return;
+        }
         if let Some(held) = self.slots.iter().position(|slot| slot.held(now).is_some()) {
             self.current_slot = held;
         } else if is_requested && self.slots.len() > 1 && self.is_held_elsewhere(now) {
@@ -162,7 +170,7 @@
         let mut shared_permits = self.peer_state.permits();
         for (name, permit) in &mut self.permits {
             let Some(shared) = shared_permits.get_mut(name) else { continue };
-            let held = permit.slots.iter().find_map(|slot| slot.held(now));
+            let held = permit.held(now);
             shared.publish(held, permit.describe_wait(now));
             let token = held.map(|held| held.token.0);
             if token != permit.logged_token {
@@ -215,3 +223,6 @@
         "seen_s": observed.map(|observed| observed.remaining.as_secs_f64()),
     })
 }
+
+#[cfg(test)]
+mod tests;
