Count a replica's grace period from when it took over its address

Cause: a replica that has lost its memory stays silent until all that it may have accepted has run out. That time was counted from the start of the process. In an upgrade the predecessor accepts in the replica's name for seconds after that, until it gives the address up. The allocators of [limits] and the registry of [peers] came from the same start.

Change: the socket knows since when its process holds the address, and the acceptors and the registry replica are made only then, with that time. Until then they do not exist, so a forgotten start gives no vote.

The model has a successor that waits at an acceptor: no state with two holders, and two mutants found in 10 and 11 steps.

--- a/crates/cli/src/leases.rs
+++ b/crates/cli/src/leases.rs
@@ -90,12 +90,13 @@
     peer_state: Arc<SharedPeerState>,
     permits: BTreeMap<String, Permit>,
     slot_of_lease: BTreeMap<LeaseId, SlotIndex>,
-    /// Present only on a registry replica.
+    is_replica: bool,
+    /// Present on a registry replica, once this process is the only one that answers in its name.
     acceptor: Option<Acceptor>,
 }
 
 impl PermitLeases {
-    /// Creates the lease clients, which hold no lease yet, and on a registry replica the acceptor.
+    /// Creates the lease clients, which hold no lease yet.
     pub fn new(
         runtime: SystemRuntime,
         now: Timestamp,
@@ -119,8 +120,13 @@
             }
             permits.insert(name.clone(), Permit::new(slots, local_holder.node));
         }
-        let acceptor = rules.acceptors.contains(&local_holder.node).then(|| Acceptor::new(now));
-        PermitLeases { runtime, rules, peer_state, permits, slot_of_lease, acceptor }
+        let is_replica = rules.acceptors.contains(&local_holder.node);
+        PermitLeases { runtime, rules, peer_state, permits, slot_of_lease, is_replica, acceptor: None }
+    }
+
+    /// Starts the acceptor of a registry replica; see [`Acceptor::new`].
+    pub fn start_acceptor(&mut self, sole_since: Timestamp) {
+        self.acceptor = self.is_replica.then(|| Acceptor::new(sole_since));
     }
 
     /// Advances the clients to `now`, and returns the messages to send and the time of the next call.
--- a/crates/cli/src/peer_thread.rs
+++ b/crates/cli/src/peer_thread.rs
@@ -103,7 +103,7 @@
     // Publishes the conservative bound before the first request.
     peer_loop.publish_fleet_share(now);
     let address = peers.listen_address;
-    let socket = match PeerSocket::bind(address, &codec) {
+    let socket = match PeerSocket::bind(runtime, address, &codec) {
         Ok(socket) => Some(socket),
         Err(error) if error.kind() == io::ErrorKind::AddrInUse => None,
         Err(source) => return Err(PeerThreadError::Bind { address, source }),
--- a/crates/cli/src/peer_thread/control_loop.rs
+++ b/crates/cli/src/peer_thread/control_loop.rs
@@ -57,8 +57,21 @@
 }
 
 impl PeerLoop {
+    /// Starts what this process stores as a registry replica. The predecessor, which stored it until the
+    /// address was taken over, may have made promises that this process does not know.
+    fn start_replica(&mut self, sole_since: Timestamp) {
+        self.members.start_replica(sole_since);
+        if let Some(leases) = &mut self.leases {
+            leases.start_acceptor(sole_since);
+        }
+        if let Some(quotas) = &mut self.quotas {
+            quotas.start_acceptor(sole_since);
+        }
+    }
+
     /// Runs until a stop is requested, then announces to the peers that this process leaves.
     pub fn run(&mut self, socket: &PeerSocket, stop_requested: &AtomicBool) {
+        self.start_replica(socket.sole_since());
         let started_at = self.runtime.now();
         let mut schedule = Schedule {
             started_at,
--- a/crates/cli/src/peer_thread/socket.rs
+++ b/crates/cli/src/peer_thread/socket.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use doorproxy::ids::Timestamp;
 use doorproxy_balancer::log_line;
+use doorproxy_balancer::runtime::Runtime;
 use doorproxy_balancer::runtime::system::SystemRuntime;
 use doorproxy_membership::member_list::MemberChange;
 use doorproxy_membership::message::Envelope;
@@ -29,15 +31,28 @@
 pub struct PeerSocket {
     socket: UdpSocket,
     codec: DatagramCodec,
+    sole_since: Timestamp,
 }
 
 impl PeerSocket {
     /// Binds the address exclusively: peers know only one process of each name, the one that holds the
     /// address.
-    pub fn bind(address: SocketAddr, codec: &DatagramCodec) -> io::Result<PeerSocket> {
+    pub fn bind(
+        runtime: SystemRuntime,
+        address: SocketAddr,
+        codec: &DatagramCodec,
+    ) -> io::Result<PeerSocket> {
         let socket = UdpSocket::bind(address)?;
+        // Read once the address is bound: a predecessor may have answered until just before.
+        let sole_since = runtime.now();
         socket.set_write_timeout(Some(SEND_TIMEOUT))?;
-        Ok(PeerSocket { socket, codec: codec.clone() })
+        Ok(PeerSocket { socket, codec: codec.clone(), sole_since })
+    }
+
+    /// Returns the time since when this process holds the address, so that no other process answers in the
+    /// name of its node.
+    pub fn sole_since(&self) -> Timestamp {
+        self.sole_since
     }
 
     /// Waits until the predecessor of this process frees the address. Until then, peers know only the
@@ -54,7 +69,7 @@
              this process joins once it is free"
         );
         while !stop_requested.load(Ordering::Relaxed) {
-            if let Ok(socket) = PeerSocket::bind(address, codec) {
+            if let Ok(socket) = PeerSocket::bind(runtime, address, codec) {
                 return Some(socket);
             }
             std::thread::sleep(MAX_RECEIVE_WAIT);
--- a/crates/cli/src/quotas.rs
+++ b/crates/cli/src/quotas.rs
@@ -144,6 +144,11 @@
         Ok(FleetQuotas { runtime, rules, node, local_holder, logged_rejections: BTreeMap::new() })
     }
 
+    /// Starts the node's part as an acceptor and allocator; see [`QuotaNode::start_acceptor`].
+    pub fn start_acceptor(&mut self, sole_since: Timestamp) {
+        self.node.start_acceptor(sole_since);
+    }
+
     /// Wraps a message with this process as its sender.
     pub fn envelope(&self, message: Message) -> Envelope {
         Envelope { sender: self.local_holder, message }
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -249,6 +249,14 @@
     Balancer { process, address, config, log }
 }
 
+/// Returns an address for the datagrams of a balancer, which no other process and no other `group` of this
+/// process uses.
+pub fn peer_address(group: u16, ordinal: u8) -> SocketAddr {
+    const FIRST_PORT: u16 = 5000;
+    let id = std::process::id();
+    SocketAddr::from(([127, 100 + ordinal, (id >> 8) as u8, id as u8], FIRST_PORT + group))
+}
+
 /// A discovery service that reads a call and closes the connection without an answer.
 pub fn closing_service() -> SocketAddr {
     listen(|mut stream| drop(stream.read(&mut [0; 4096])))
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -18,7 +18,6 @@
 /// time for a busy machine.
 const MAX_WAIT: Duration = Duration::from_secs(90);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const PEER_PORT: u16 = 5002;
 const NAMES: [&str; 3] = ["n0", "n1", "n2"];
 const KEY: &str = "7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a";
 
@@ -28,17 +27,11 @@
     admin: SocketAddr,
 }
 
-/// Returns an address that no other test process uses.
-fn peer_address(ordinal: usize) -> String {
-    let id = std::process::id();
-    format!("127.{}.{}.{}:{PEER_PORT}", 100 + ordinal, id >> 8 & 0xff, 1 + (id & 0x7f))
-}
-
 fn write_fleet_file(directory: &Path, ordinal: usize, permits: &[&str]) -> PathBuf {
     let key = directory.join("key");
     std::fs::write(&key, KEY).unwrap();
     let replicas = NAMES.iter().enumerate();
-    let replicas = replicas.map(|(other, name)| format!("{name} = \"{}\"", peer_address(other)));
+    let replicas = replicas.map(|(other, name)| format!("{name} = \"{}\"", peer_address(0, other as u8)));
     let permits = permits.iter().map(|name| format!("{name} = 1"));
     let text = format!(
         "[peers]\ncluster = \"permits\"\nlisten = \"{at}\"\nat = \"{at}\"\nkey = {key:?}\nzone = \"east\"\n\
@@ -46,7 +39,7 @@
         replicas.collect::<Vec<_>>().join(", "),
         LEASE.as_secs(),
         permits.collect::<Vec<_>>().join(", "),
-        at = peer_address(ordinal),
+        at = peer_address(0, ordinal as u8),
     );
     let path = directory.join(format!("n{ordinal}.toml"));
     std::fs::write(&path, text).unwrap();
--- a/crates/leases/src/acceptor.rs
+++ b/crates/leases/src/acceptor.rs
@@ -1,9 +1,9 @@
 //! The acceptor, which promises ballots and accepts lease values.
 //!
 //! Invariants: an acceptor accepts a value only under the ballot that it promised last since its start. It
-//! keeps its registers in memory only, so after a start it answers [`Message::InGracePeriod`] until every
-//! lease that it may have forgotten has expired. It uses no disk, so a lost, restored or unsynced disk cannot
-//! affect it.
+//! keeps its registers in memory only, so at first it answers [`Message::InGracePeriod`] until every lease has
+//! expired that an earlier process of its node may have accepted. It uses no disk, so a lost, restored or
+//! unsynced disk cannot affect it.
 
 use std::collections::BTreeMap;
 
@@ -46,14 +46,16 @@
 /// Holds the registers of all leases at one node.
 #[derive(Clone, Debug)]
 pub struct Acceptor {
-    started_at: Timestamp,
+    sole_since: Timestamp,
     registers: BTreeMap<LeaseId, Register>,
 }
 
 impl Acceptor {
-    /// Creates an acceptor that starts at `now` without registers.
-    pub fn new(now: Timestamp) -> Acceptor {
-        Acceptor { started_at: now, registers: BTreeMap::new() }
+    /// Creates an acceptor without registers. Since `sole_since`, no other process answers in the name of its
+    /// node; an earlier process of the node may have accepted leases until then, even if this process had
+    /// started by that time.
+    pub fn new(sole_since: Timestamp) -> Acceptor {
+        Acceptor { sole_since, registers: BTreeMap::new() }
     }
 
     /// Returns all registers, ordered by lease id.
@@ -61,12 +63,12 @@
         self.registers.iter()
     }
 
-    /// Returns the time since the acceptor started.
+    /// Returns the time for which no other process has answered in the name of the node.
     pub fn age(&self, now: Timestamp) -> Ticks {
-        now - self.started_at
+        now - self.sole_since
     }
 
-    /// Returns whether a lease that was accepted before the acceptor's start may still be held.
+    /// Returns whether a lease that an earlier process of the node accepted may still be held.
     pub fn is_in_grace_period(&self, now: Timestamp, rules: &LeaseRules) -> bool {
         self.age(now) <= rules.duration_with_drift(rules.max_duration)
     }
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -17,14 +17,15 @@
 //! not restarted since it accepted *A*'s value, each of its promises reports *A*'s lease for *S* on its
 //! clock, which is at least *L* (1 + *d*) of true time, and *B* does not propose over it. A ballot that was
 //! promised before *A*'s accept is not accepted after it, because an accept request must carry exactly the
-//! ballot that was promised last. If *k* has restarted, it promises nothing for *S*, and *A*'s lease expires
-//! in that time. No step depends on what *A* or *B* assumes about the other, or on a wall clock.
+//! ballot that was promised last. If another process has taken *k*'s place, it promises nothing for *S* after
+//! the last moment at which the earlier one could accept, and *A*'s lease expires in that time. No step depends on what *A* or *B* assumes about the other, or on a wall clock.
 //!
 //! *Fencing tokens never decrease* as long as one acceptor of each majority remembers the last token. If all
 //! acceptors lose their memory at once, tokens still do not decrease if the wall clock of the next holder,
 //! when it starts, is not behind the wall clock of the last holder when that one started.
 //!
-//! Acceptors store nothing on disk: the grace period after a restart makes the loss of their memory safe.
+//! Acceptors store nothing on disk: the grace period after a change of process makes the loss of their memory
+//! safe.
 
 #![warn(missing_docs)]
 
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -1,6 +1,7 @@
 //! Explores the interleavings of two proposers and three acceptors up to a bounded depth: requests are
-//! lost or late, responses are lost, proposals are abandoned, and an acceptor restarts. At most one proposer
-//! may hold the lease at a time. Each mutant lacks one rule and must violate this invariant.
+//! lost or late, responses are lost, proposals are abandoned, an acceptor restarts, and an acceptor is
+//! upgraded: a successor process waits until it takes over the acceptor's address. At most one proposer may
+//! hold the lease at a time. Each mutant lacks one rule and must violate this invariant.
 
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
@@ -33,6 +34,10 @@
     CountsFromResponse,
     /// An acceptor makes promises right after a restart.
     SkipsGracePeriod,
+    /// A successor counts the grace period from the start of its process, not from when it took over.
+    CountsFromProcessStart,
+    /// A successor answers beside its predecessor, once the grace period since its start is over.
+    SharesAddress,
     /// An acceptor accepts a value under any ballot.
     AcceptsUnpromised,
     /// Each proposer treats one acceptor as a majority.
@@ -50,10 +55,23 @@
     stray_accepts: Vec<(usize, Message)>,
     /// Holds when each proposer's lease expires under [`Mutant::CountsFromResponse`].
     held_from_response: [Option<Timestamp>; PROPOSERS],
+    /// Holds the successor of [`UPGRADED`], which waits for the address.
+    successor: Option<Successor>,
     restart_count: usize,
     proposal_count: usize,
 }
 
+/// A process that waits until it takes over the address of its predecessor.
+#[derive(Clone)]
+struct Successor {
+    started_at: Timestamp,
+    /// Holds the acceptor that answers beside the predecessor under [`Mutant::SharesAddress`].
+    acceptor: Acceptor,
+}
+
+/// The acceptor that has a successor.
+const UPGRADED: usize = 0;
+
 fn encode_value(value: Option<&LeaseValue>) -> [i64; 3] {
     value.map_or([-1; 3], |value| {
         [value.holder.map_or(0, |holder| holder.node.0 as i64), value.token.0 as i64, value.duration_ticks]
@@ -64,7 +82,9 @@
     fn abstract_state(&self) -> (Vec<i64>, String, Vec<AbstractPhase>) {
         let age = |age: Ticks| age.0.clamp(-MAX_AGE, MAX_AGE);
         let mut numbers = vec![self.restart_count as i64, self.proposal_count as i64];
-        for acceptor in &self.acceptors {
+        numbers.push(self.successor.as_ref().map_or(-1, |successor| age(self.now - successor.started_at)));
+        let beside = self.successor.as_ref().map(|successor| &successor.acceptor);
+        for acceptor in self.acceptors.iter().chain(beside) {
             numbers.push(age(acceptor.age(self.now)));
             for (_, register) in acceptor.registers() {
                 numbers.extend([register.promised.round as i64, register.promised.proposer as i64]);
@@ -120,11 +140,17 @@
     DeliverStray(usize),
     /// The acceptor restarts.
     RestartAcceptor(usize),
+    /// The predecessor has ended, and its successor takes over its address.
+    TakeOver,
+    /// The proposer's request reaches the successor beside its predecessor, and the response arrives at once.
+    DeliverToSuccessor(usize),
 }
 
 struct TwoProposers {
     mutant: Mutant,
     max_restarts: usize,
+    /// Says whether an acceptor is upgraded.
+    has_upgrade: bool,
     /// Limits the total number of proposals of both proposers.
     max_proposals: usize,
 }
@@ -267,6 +293,33 @@
         }
     }
 
+    fn upgrade_steps(&self, successors: &mut Successors<Step, ClusterState>, state: &ClusterState) {
+        let Some(successor) = &state.successor else { return };
+        successors.add(Step::TakeOver, |state| {
+            let counts_from_start = self.mutant == Mutant::CountsFromProcessStart;
+            let sole_since = if counts_from_start { successor.started_at } else { state.now };
+            state.acceptors[UPGRADED] = Acceptor::new(sole_since);
+            state.successor = None;
+        });
+        if self.mutant != Mutant::SharesAddress {
+            return;
+        }
+        for (&(proposer, acceptor), request) in &state.requests_in_flight {
+            if acceptor != UPGRADED {
+                continue;
+            }
+            successors.add(Step::DeliverToSuccessor(proposer), |state| {
+                state.requests_in_flight.remove(&(proposer, acceptor));
+                let rules = self.acceptor_rules();
+                let beside = state.successor.as_mut().map(|successor| &mut successor.acceptor);
+                let response = beside.and_then(|beside| beside.respond(state.now, request, &rules));
+                if let Some(response) = response {
+                    self.deliver_response(state, proposer, acceptor, &response);
+                }
+            });
+        }
+    }
+
     fn restart_steps(&self, successors: &mut Successors<Step, ClusterState>, state: &ClusterState) {
         if state.restart_count < self.max_restarts {
             for acceptor in 0..ACCEPTORS {
@@ -299,6 +352,10 @@
             requests_in_flight: BTreeMap::new(),
             stray_accepts: Vec::new(),
             held_from_response: [None; PROPOSERS],
+            // The successor started long ago, so a grace period from its start is over.
+            successor: self
+                .has_upgrade
+                .then(|| Successor { started_at: Timestamp(0), acceptor: Acceptor::new(Timestamp(0)) }),
             restart_count: 0,
             proposal_count: 0,
         }]
@@ -310,6 +367,7 @@
         self.proposer_steps(&mut successors, state);
         self.delivery_steps(&mut successors, state);
         self.restart_steps(&mut successors, state);
+        self.upgrade_steps(&mut successors, state);
         successors.into_vec()
     }
 
@@ -335,28 +393,34 @@
 
 #[test]
 fn two_proposers_never_hold_the_lease_at_once() {
-    for (max_restarts, max_proposals) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
-        let exploration = explore(
-            &TwoProposers { mutant: Mutant::None, max_restarts, max_proposals },
-            60,
-            max_states(DEFAULT_MAX_STATES),
-        );
-        println!("{max_restarts} restarts, {max_proposals} proposals: {}", format_exploration(&exploration));
-        assert_eq!(exploration.violation, None);
+    for has_upgrade in [false, true] {
+        for (max_restarts, max_proposals) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+            let exploration = explore(
+                &TwoProposers { mutant: Mutant::None, max_restarts, has_upgrade, max_proposals },
+                60,
+                max_states(DEFAULT_MAX_STATES),
+            );
+            let report = format_exploration(&exploration);
+            println!("{max_restarts} restarts, upgrade {has_upgrade}, {max_proposals} proposals: {report}");
+            assert_eq!(exploration.violation, None);
+        }
     }
 }
 
 #[test]
 fn each_mutant_allows_two_holders() {
     let mut report = String::new();
-    for (mutant, max_restarts, max_proposals) in [
-        (Mutant::ExpiresEarly, 0, 2),
-        (Mutant::CountsFromResponse, 0, 2),
-        (Mutant::SkipsGracePeriod, 1, 2),
-        (Mutant::AcceptsUnpromised, 0, 2),
-        (Mutant::TrustsOneAcceptor, 0, 2),
+    for (mutant, max_restarts, has_upgrade) in [
+        (Mutant::ExpiresEarly, 0, false),
+        (Mutant::CountsFromResponse, 0, false),
+        (Mutant::SkipsGracePeriod, 1, false),
+        (Mutant::CountsFromProcessStart, 0, true),
+        (Mutant::SharesAddress, 0, true),
+        (Mutant::AcceptsUnpromised, 0, false),
+        (Mutant::TrustsOneAcceptor, 0, false),
     ] {
-        let exploration = explore(&TwoProposers { mutant, max_restarts, max_proposals }, 60, 400_000);
+        let model = TwoProposers { mutant, max_restarts, has_upgrade, max_proposals: 2 };
+        let exploration = explore(&model, 60, 400_000);
         report += &format!("mutant {mutant:?}: {}\n", format_exploration(&exploration));
     }
     expect![[r#"
@@ -366,6 +430,10 @@
             StartProposal(0), StartProposal(1), Deliver(0, 0), Deliver(0, 1), Deliver(0, 0), AdvanceTime, AdvanceTime, Deliver(0, 1), Deliver(1, 0), Deliver(1, 2), Deliver(1, 0), Deliver(1, 2)
         mutant SkipsGracePeriod: after 11 steps: 2 hold the lease at once
             StartProposal(0), StartProposal(1), Deliver(0, 0), Deliver(0, 1), Deliver(0, 0), Deliver(0, 1), Deliver(1, 2), RestartAcceptor(0), Deliver(1, 0), Deliver(1, 0), Deliver(1, 2)
+        mutant CountsFromProcessStart: after 11 steps: 2 hold the lease at once
+            StartProposal(0), StartProposal(1), Deliver(0, 0), Deliver(0, 1), Deliver(0, 0), Deliver(0, 1), Deliver(1, 2), TakeOver, Deliver(1, 0), Deliver(1, 0), Deliver(1, 2)
+        mutant SharesAddress: after 10 steps: 2 hold the lease at once
+            StartProposal(0), StartProposal(1), Deliver(0, 0), Deliver(0, 1), Deliver(0, 0), Deliver(0, 1), Deliver(1, 2), DeliverToSuccessor(1), Deliver(1, 2), DeliverToSuccessor(1)
         mutant AcceptsUnpromised: after 10 steps: 2 hold the lease at once
             StartProposal(0), StartProposal(1), Deliver(0, 0), Deliver(0, 1), Deliver(0, 0), Deliver(1, 1), Deliver(0, 1), Deliver(1, 2), Deliver(1, 1), Deliver(1, 2)
         mutant TrustsOneAcceptor: after 6 steps: 2 hold the lease at once
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -46,7 +46,7 @@
     rng: Pcg,
     member_list: MemberList,
     lease: MembershipLease,
-    /// Is `Some` if this node is a registry replica.
+    /// Is `Some` if this node is a registry replica and was started as one.
     replica: Option<RegistryReplica>,
     probe: Option<OutstandingProbe>,
     /// Holds the members that are still to be probed in the current round.
@@ -67,7 +67,8 @@
 }
 
 impl MembershipNode {
-    /// Creates a node that starts now. All its random choices are derived from the seed.
+    /// Creates a node that starts now, without its registry replica. All its random choices are derived from
+    /// the seed.
     pub fn new(now: Timestamp, seed: u64, settings: MembershipSettings) -> MembershipNode {
         let registry_rules = settings.registry_rules();
         let local_node = NodeId::from_name(&settings.name);
@@ -75,11 +76,10 @@
         // Spreads the first probes of a fleet whose nodes all restart at once.
         let first_period = settings.protocol_period.mul_f64(rng.next_f64());
         let first_nonce = u64::from(rng.next_u32()) << 32 | u64::from(rng.next_u32());
-        let replica = settings.is_registry_replica().then(|| RegistryReplica::new(now, settings.incarnation));
         MembershipNode {
             member_list: MemberList::new(settings.local_member(), settings.protocol_period),
             lease: MembershipLease::new(local_node, &registry_rules),
-            replica,
+            replica: None,
             probe: None,
             probe_order: VecDeque::new(),
             period_count: 0,
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Starts the registry replica at a node that is one. No other process answers in the name of the node
+    /// since `sole_since`; see [`RegistryReplica::new`].
+    pub fn start_replica(&mut self, sole_since: Timestamp) {
+        let incarnation = self.settings.incarnation;
+        self.replica =
+            self.settings.is_registry_replica().then(|| RegistryReplica::new(sole_since, incarnation));
+    }
+
     /// Returns the member list, which holds this node's view of the others.
     pub fn member_list(&self) -> &MemberList {
         &self.member_list
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -14,7 +14,8 @@
 //!    the same or a later incarnation.
 //! 3. A node whose lease starts uses no full share until it has held the lease for K without interruption. It
 //!    counts only snapshots from a majority of replicas, each requested less than T ago.
-//! 4. A replica that has started gives no snapshot for K, since it does not know all nodes yet.
+//! 4. A replica gives no snapshot for K after the last moment at which an earlier process of its node could
+//!    acknowledge a heartbeat, since it does not know all nodes yet.
 //!
 //! It follows that any two nodes that use full shares count each other. Let p and q use full shares at time
 //! t, and let a be the time at which p requested the oldest snapshot that it counts, so that t − a ≤ T (1 +
--- a/crates/membership/src/registry/replica.rs
+++ b/crates/membership/src/registry/replica.rs
@@ -23,7 +23,7 @@
 /// Holds the nodes from which one replica has received heartbeats.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegistryReplica {
-    started_at: Timestamp,
+    sole_since: Timestamp,
     entries: BTreeMap<NodeId, RegistryEntry>,
     /// Grows whenever the set of nodes changes.
     version: u64,
@@ -39,10 +39,11 @@
 }
 
 impl RegistryReplica {
-    /// Creates a replica whose process, of this incarnation, starts now.
-    pub fn new(now: Timestamp, incarnation: Incarnation) -> RegistryReplica {
+    /// Creates the replica of a process of this incarnation. Since `sole_since`, no other process answers in
+    /// the name of its node; an earlier process may have acknowledged heartbeats until then.
+    pub fn new(sole_since: Timestamp, incarnation: Incarnation) -> RegistryReplica {
         let version = incarnation.0 << INCARNATION_SHIFT;
-        RegistryReplica { started_at: now, entries: BTreeMap::new(), version }
+        RegistryReplica { sole_since, entries: BTreeMap::new(), version }
     }
 
     /// Records a heartbeat. Returns `false` if the replica is full, in which case the node must not be
@@ -84,13 +85,13 @@
         self.entries.iter().map(move |(node, entry)| (*node, now - entry.heard_at))
     }
 
-    /// Returns how long ago the replica started.
+    /// Returns the time for which no other process has answered in the name of the node.
     pub fn age(&self, now: Timestamp) -> Ticks {
-        now - self.started_at
+        now - self.sole_since
     }
 
-    /// Returns the known nodes, or `None` in the grace period after the start, while the replica may not know
-    /// all nodes.
+    /// Returns the known nodes, or `None` in the grace period, while the replica may not know all nodes that
+    /// an earlier process of its node acknowledged.
     pub fn snapshot(&self, now: Timestamp, rules: &RegistryRules) -> Option<ReplicaSnapshot> {
         if self.age(now) <= rules.retention() {
             return None;
--- a/crates/membership/tests/virtual_fleet/mod.rs
+++ b/crates/membership/tests/virtual_fleet/mod.rs
@@ -214,7 +214,9 @@
         let seed = self.case.seed ^ (index as u64) << 32 ^ self.event_count;
         let now = self.clock(index);
         let simulated = &mut self.nodes[index];
-        simulated.node = Some(MembershipNode::new(now, seed, settings));
+        let mut node = MembershipNode::new(now, seed, settings);
+        node.start_replica(now);
+        simulated.node = Some(node);
         simulated.is_paused = false;
         simulated.unread_messages.clear();
         self.replica_heard_at.retain(|(replica, _), _| *replica != index);
--- a/crates/quotas/src/node.rs
+++ b/crates/quotas/src/node.rs
@@ -87,7 +87,7 @@
     rules: Arc<QuotaRules>,
     lease_rules: leases::LeaseRules,
     client: Arc<Mutex<QuotaClient>>,
-    /// Holds the acceptor, at a node that is one.
+    /// Holds the acceptor at a node that is one, once it is started.
     acceptor: Option<Acceptor>,
     /// Holds all shards by number at a node that is an acceptor, and is empty at others: clients send their
     /// requests only to acceptors.
@@ -107,8 +107,8 @@
 }
 
 impl QuotaNode {
-    /// Creates a node that starts at `now`. See [`doorproxy_leases::proposer::Proposer::new`] for
-    /// `token_floor`.
+    /// Creates a node that starts at `now`, without its acceptor. See
+    /// [`doorproxy_leases::proposer::Proposer::new`] for `token_floor`.
     pub fn new(
         now: Timestamp,
         local_holder: ProcessIdentity,
@@ -139,11 +139,18 @@
             rules,
             lease_rules,
             client: Arc::new(Mutex::new(client)),
-            acceptor: acceptor_index.map(|_| Acceptor::new(now)),
+            acceptor: None,
             shards,
         }
     }
 
+    /// Starts the acceptor at a node that is one. No other process answers in the name of the node since
+    /// `sole_since`; see [`Acceptor::new`].
+    pub fn start_acceptor(&mut self, sole_since: Timestamp) {
+        let is_acceptor = self.lease_rules.acceptors.contains(&self.local_holder.node);
+        self.acceptor = is_acceptor.then(|| Acceptor::new(sole_since));
+    }
+
     /// Returns the client from which request threads spend. The node locks it for one call at a time.
     pub fn client(&self) -> Arc<Mutex<QuotaClient>> {
         self.client.clone()
@@ -269,8 +276,7 @@
         self.shards.iter().enumerate().filter_map(status).collect()
     }
 
-    /// Returns whether this node's acceptor is past its grace period, or `None` if the node is not an
-    /// acceptor.
+    /// Returns whether this node's acceptor is past its grace period, or `None` if the node has none.
     pub fn is_acceptor_voting(&self, now: Timestamp) -> Option<bool> {
         self.acceptor.as_ref().map(|acceptor| !acceptor.is_in_grace_period(now, &self.lease_rules))
     }
--- a/crates/quotas/tests/simulated.rs
+++ b/crates/quotas/tests/simulated.rs
@@ -118,13 +118,15 @@
 
     fn new_node(&self, index: usize, incarnation: u64, now: Timestamp) -> QuotaNode {
         let local_holder = ProcessIdentity { node: node_id(index), incarnation: Incarnation(incarnation) };
-        QuotaNode::new(
+        let mut node = QuotaNode::new(
             now,
             local_holder,
             self.rules.clone(),
             self.lease_rules.clone(),
             FencingToken(incarnation << 30),
-        )
+        );
+        node.start_acceptor(now);
+        node
     }
 
     fn schedule(&mut self, after: i64, event: Event) {
