--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod replica;
+
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/cli/tests/keeper_upgrade.rs
+++ b/crates/cli/tests/keeper_upgrade.rs
@@ -3,12 +3,11 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::{SocketAddr, UdpSocket};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::replica::{PEER_KEY, Platform};
 use common::*;
 use doorproxy::ids::Ticks;
 use doorproxy_leases::messages as leases;
@@ -30,7 +29,6 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the test waits for an answer before it fails, also on a busy machine.
 const MAX_WAIT: Duration = Duration::from_secs(60);
-const KEY: &str = "7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a";
 const CLUSTER: &str = "upgrade";
 /// The replica under test; the test answers at the addresses of the two others.
 const REPLICA: &str = "n1";
@@ -56,43 +54,13 @@
 
 /// The replica's platform, and the two nodes that talk to it.
 struct Fleet {
-    listener: TcpListener,
-    directory: tempfile::TempDir,
+    platform: Platform,
     replica: SocketAddr,
     socket: UdpSocket,
     codec: DatagramCodec,
     last_round: u64,
 }
 
-/// A process of the replica and its log. The process is killed when this is dropped.
-struct Process {
-    child: Child,
-    log: Trace,
-}
-
-impl Process {
-    fn signal(&self, name: &str) {
-        let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
-    }
-
-    fn terminate(mut self) {
-        self.signal("TERM");
-        self.child.wait().unwrap();
-    }
-
-    fn wait_for_log(&self, text: &str) {
-        self.log.wait_until(text, |log| log.contains(text));
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn identity(node: &str) -> ProcessIdentity {
     ProcessIdentity { node: NodeId::from_name(node), incarnation: Incarnation(1) }
 }
@@ -100,51 +68,22 @@
 impl Fleet {
     /// Creates the files of the replica. `group` separates tests that run in parallel.
     fn new(group: u16) -> Fleet {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let directory = tempfile::tempdir().unwrap();
         let [holder, replica, candidate] = [0, 1, 2].map(|ordinal| peer_address(group, ordinal));
-        let key = directory.path().join("key");
-        std::fs::write(&key, KEY).unwrap();
-        let fleet = format!(
-            "[peers]\ncluster = \"{CLUSTER}\"\nlisten = \"{replica}\"\nat = \"{replica}\"\nkey = {key:?}\n\
-             zone = \"east\"\ncut_after = \"1s\"\ndrift = {DRIFT}\n\
-             keepers = {{ {HOLDER} = \"{holder}\", {REPLICA} = \"{replica}\", {CANDIDATE} = \"{candidate}\" }}\n\
-             [leases]\nlength = \"1s\"\npermits = {{ task = 1 }}\n\
-             [limits]\nlease = \"1s\"\ntenants = {{ acme = {{ rate = 100.0, strict = true }} }}\n"
-        );
-        std::fs::write(directory.path().join("fleet.toml"), fleet).unwrap();
         let mut config = config(&[], closing_service(), 256);
         config["name"] = json!(REPLICA);
-        config["listen"] = json!(listener.local_addr().unwrap());
-        std::fs::write(directory.path().join("config.json"), config.to_string()).unwrap();
+        let platform = Platform::new(config, |key| {
+            format!(
+                "[peers]\ncluster = \"{CLUSTER}\"\nlisten = \"{replica}\"\nat = \"{replica}\"\nkey = {key:?}\n\
+                 zone = \"east\"\ncut_after = \"1s\"\ndrift = {DRIFT}\n\
+                 keepers = {{ {HOLDER} = \"{holder}\", {REPLICA} = \"{replica}\", {CANDIDATE} = \"{candidate}\" }}\n\
+                 [leases]\nlength = \"1s\"\npermits = {{ task = 1 }}\n\
+                 [limits]\nlease = \"1s\"\ntenants = {{ acme = {{ rate = 100.0, strict = true }} }}\n"
+            )
+        });
         let socket = UdpSocket::bind(holder).unwrap();
         socket.set_read_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
-        let codec = DatagramCodec::new(CLUSTER, ClusterKeys::parse(KEY).unwrap());
-        Fleet { listener, directory, replica, socket, codec, last_round: 1 }
-    }
-
-    /// Starts a process of the replica on the listening socket that the platform holds.
-    fn start(&self) -> Process {
-        let program = env!("CARGO_BIN_EXE_doorproxy");
-        let file = |name: &str| -> PathBuf { self.directory.path().join(name) };
-        let mut command = Command::new("sh");
-        command.arg("-c").arg(format!("exec 3<&0 </dev/null; exec {program} serve --fleet \"$FLEET\""));
-        command.stdin(Stdio::from(std::os::fd::OwnedFd::from(self.listener.try_clone().unwrap())));
-        command.env("FLEET", file("fleet.toml")).env("PROXY_CONFIG", file("config.json"));
-        command.env("TMPDIR", self.directory.path()).env("PROXY_ACCEPT_FD", "3");
-        command.env("PROXY_CONTROL", "127.0.0.1:0").stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let log = Trace::default();
-        copy_lines(child.stderr.take().unwrap(), log.clone());
-        log.wait_for_prefix("server: serving on ", 1);
-        Process { child, log }
-    }
-
-    /// Starts a process that has to wait for its predecessor's address.
-    fn start_successor(&self) -> Process {
-        let process = self.start();
-        process.wait_for_log("is in use, probably by the predecessor");
-        process
+        let codec = DatagramCodec::new(CLUSTER, ClusterKeys::parse(PEER_KEY).unwrap());
+        Fleet { platform, replica, socket, codec, last_round: 1 }
     }
 
     fn next_ballot(&mut self, node: &str) -> Ballot {
@@ -297,20 +236,13 @@
     }
 }
 
-fn copy_lines(from: impl std::io::Read + Send + 'static, log: Trace) {
-    use std::io::{BufRead, BufReader};
-    thread::spawn(move || {
-        BufReader::new(from).lines().map_while(Result::ok).for_each(|line| log.record(&line))
-    });
-}
-
 /// Prevents that a replica votes right after its upgrade, because the grace period of the new process was over
 /// while the old one still accepted leases.
 #[test]
 fn upgraded_replica_forgets_no_holder() {
     let mut fleet = Fleet::new(1);
-    let old = fleet.start();
-    let _new = fleet.start_successor();
+    let old = fleet.platform.start();
+    let _new = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
     let counted_from = fleet.hold_all();
     old.terminate();
@@ -321,8 +253,8 @@
 #[test]
 fn replica_whose_predecessor_hung_forgets_no_holder() {
     let mut fleet = Fleet::new(2);
-    let old = fleet.start();
-    let _new = fleet.start_successor();
+    let old = fleet.platform.start();
+    let _new = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
     let counted_from = fleet.hold_all();
     old.signal("STOP");
@@ -335,9 +267,9 @@
 #[test]
 fn replica_after_two_upgrades_forgets_no_holder() {
     let mut fleet = Fleet::new(3);
-    let first = fleet.start();
-    let second = fleet.start_successor();
-    let _third = fleet.start_successor();
+    let first = fleet.platform.start();
+    let second = fleet.platform.start_successor();
+    let _third = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
     let counted_from = fleet.hold_all();
     first.terminate();
@@ -351,9 +283,9 @@
 #[test]
 fn restarted_replica_forgets_no_holder() {
     let mut fleet = Fleet::new(4);
-    let old = fleet.start();
+    let old = fleet.platform.start();
     let counted_from = fleet.hold_all();
     drop(old);
-    let _new = fleet.start();
+    let _new = fleet.platform.start();
     fleet.check_first_answers(counted_from);
 }
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -2,15 +2,15 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::replica::{PEER_KEY, call_permit};
 use common::*;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// The length of a lease. It is longer than the 5 s for which a balancer requests a permit without `--keep`.
 const LEASE: Duration = Duration::from_secs(8);
@@ -19,7 +19,6 @@
 const MAX_WAIT: Duration = Duration::from_secs(90);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const NAMES: [&str; 3] = ["n0", "n1", "n2"];
-const KEY: &str = "7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a";
 
 /// A balancer and the address of its admin API.
 struct Node {
@@ -29,7 +28,7 @@
 
 fn write_fleet_file(directory: &Path, ordinal: usize, permits: &[&str]) -> PathBuf {
     let key = directory.join("key");
-    std::fs::write(&key, KEY).unwrap();
+    std::fs::write(&key, PEER_KEY).unwrap();
     let replicas = NAMES.iter().enumerate();
     let replicas = replicas.map(|(other, name)| format!("{name} = \"{}\"", peer_address(0, other as u8)));
     let permits = permits.iter().map(|name| format!("{name} = 1"));
@@ -61,19 +60,6 @@
     NAMES.iter().enumerate().map(start).collect()
 }
 
-/// Calls the admin API for a permit and returns the answer.
-fn call(node: &Node, action: &str, body: &str) -> Value {
-    let mut stream = TcpStream::connect(node.admin).unwrap();
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    let length = body.len();
-    write!(stream, "POST /_permits/{action} HTTP/1.1\r\nHost: o\r\nContent-Length: {length}\r\n\r\n{body}")
-        .unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
-    serde_json::from_str(body).unwrap()
-}
-
 /// The time at which a caller was told that it holds a permit, and until when it may act.
 struct Holding {
     answered_at: Instant,
@@ -85,7 +71,7 @@
     let began = Instant::now();
     loop {
         let called_at = Instant::now();
-        let answer = call(node, "take", body);
+        let answer = call_permit(node.admin, "take", body).unwrap();
         let answered_at = Instant::now();
         if answer["held"] == true {
             let told = Duration::from_secs_f64(answer["for_s"].as_f64().unwrap());
