--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod admin;
 pub mod replica;
 
 use std::fmt::Write as _;
--- a/crates/cli/tests/common/replica.rs
+++ b/crates/cli/tests/common/replica.rs
@@ -1,7 +1,7 @@
 //! A balancer of a fleet on the listening socket that its platform holds, so that it can be upgraded.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -9,7 +9,8 @@
 
 use serde_json::{Value, json};
 
-use super::{TEST_TIMEOUT, Trace};
+use super::Trace;
+use super::admin::admin_address;
 
 pub const PEER_KEY: &str = "7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a7a";
 
@@ -56,9 +57,7 @@
         let log_writer = log.clone();
         thread::spawn(move || lines.for_each(|line| log_writer.record(&line)));
         log.wait_for_prefix("server: serving on ", 1);
-        let text = log.0.0.lock().unwrap().clone();
-        let admin = text.lines().find_map(|line| line.strip_prefix("admin: listening on ")).unwrap();
-        Process { admin: admin.parse().unwrap(), child, log }
+        Process { admin: admin_address(&log), child, log }
     }
 
     /// Starts a process that has to wait for the datagram address of its predecessor.
@@ -96,16 +95,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// Calls the admin API for a permit and returns the answer, or `None` if the process doesn't answer.
-pub fn call_permit(admin: SocketAddr, action: &str, body: &str) -> Option<Value> {
-    let mut stream = TcpStream::connect(admin).ok()?;
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
-    let length = body.len();
-    let head = format!("POST /_permits/{action} HTTP/1.1\r\nHost: o\r\nContent-Length: {length}\r\n\r\n");
-    stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
-    let (_, body) = answer.split_once("\r\n\r\n")?;
-    serde_json::from_str(body).ok()
-}
--- a/crates/cli/tests/fleet_upgrades.rs
+++ b/crates/cli/tests/fleet_upgrades.rs
@@ -12,10 +12,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::replica::{Platform, Process, call_permit};
+use common::admin::call_permit;
+use common::replica::{Platform, Process};
 use common::*;
 use doorproxy::ids::Ticks;
 use doorproxy::rng::Pcg;
+use doorproxy_model_checker::seed_count;
 use doorproxy_quotas::rules::{OvershootBound, QuotaRules, RateLimit};
 use serde_json::json;
 
@@ -305,7 +307,7 @@
 /// Prevents two holders of a permit, and an exceeded limit, over upgrades and restarts of registry replicas.
 #[test]
 fn permits_and_limits_hold_over_upgrades_of_replicas() {
-    let seeds = std::env::var("DOORPROXY_SEEDS").map_or(DEFAULT_SEEDS, |seeds| seeds.parse().unwrap());
+    let seeds = seed_count(DEFAULT_SEEDS);
     let next_seed = Mutex::new(0..seeds);
     let violations = Mutex::new(Vec::new());
     thread::scope(|scope| {
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
+use common::admin::{admin_address, call_admin, send_to_admin, status};
 use common::*;
 use doorproxy_balancer::admin::overrides::FileStore;
 use doorproxy_balancer::runtime::system::SystemRuntime;
@@ -22,39 +23,22 @@
 fn start_with_admin_api_from(mut config: Value) -> (Balancer, SocketAddr) {
     config["control"] = json!("127.0.0.1:0");
     let balancer = start_from(&config.to_string());
-    let admin = admin_address(&balancer);
+    let admin = admin_address(&balancer.log);
     (balancer, admin)
 }
 
-fn admin_address(balancer: &Balancer) -> SocketAddr {
-    balancer.log.wait_for_prefix("admin: listening on ", 1);
-    let log = balancer.log.0.0.lock().unwrap();
-    log.lines().find_map(|line| line.strip_prefix("admin: listening on ")).unwrap().parse().unwrap()
-}
-
 fn call(admin: SocketAddr, request: &str) -> Message {
-    let mut stream = TcpStream::connect(admin).unwrap();
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    stream.write_all(request.as_bytes()).unwrap();
-    read_message(&mut std::io::BufReader::new(stream)).expect("an answer")
+    send_to_admin(admin, request).expect("an answer")
 }
 
 fn post(admin: SocketAddr, path: &str, body: &str) -> String {
-    let length = body.len();
-    status(&call(
-        admin,
-        &format!("POST {path} HTTP/1.1\r\nHost: o\r\nContent-Length: {length}\r\n\r\n{body}"),
-    ))
+    status(&call_admin(admin, &format!("POST {path}"), body).expect("an answer"))
 }
 
 fn get(admin: SocketAddr, path: &str) -> Message {
     call(admin, &format!("GET {path} HTTP/1.1\r\nHost: o\r\n\r\n"))
 }
 
-fn status(answer: &Message) -> String {
-    answer.start_line().split(' ').nth(1).unwrap().to_string()
-}
-
 fn metrics(admin: SocketAddr) -> BTreeMap<String, i64> {
     let text = get(admin, "/_vars").body;
     let metric = |line: &str| {
@@ -147,7 +131,7 @@
     config_without_discovery["control"] = json!("127.0.0.1:0");
     let first = start_from(&config_without_discovery.to_string());
     let report = Trace::default();
-    report.record(&post(admin_address(&first), "/_upstreams/detach", "a"));
+    report.record(&post(admin_address(&first.log), "/_upstreams/detach", "a"));
     drop(first);
     let (balancer, admin) = start_with_admin_api_from(config(&known, discovery, 256));
     balancer.log.wait_for_prefix("discovery: endpoint 2353555337 is a", 2);
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -8,7 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::replica::{PEER_KEY, call_permit};
+use common::admin::{admin_address, call_permit};
+use common::replica::PEER_KEY;
 use common::*;
 use serde_json::json;
 
@@ -52,10 +53,7 @@
         config["name"] = json!(name);
         config["control"] = json!("127.0.0.1:0");
         let balancer = start_with_fleet(&config.to_string(), Some(&fleet));
-        balancer.log.wait_for_prefix("admin: listening on ", 1);
-        let text = balancer.log.0.0.lock().unwrap().clone();
-        let admin = text.lines().find_map(|line| line.strip_prefix("admin: listening on ")).unwrap();
-        Node { admin: admin.parse().unwrap(), _balancer: balancer }
+        Node { admin: admin_address(&balancer.log), _balancer: balancer }
     };
     NAMES.iter().enumerate().map(start).collect()
 }
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
+use common::admin::{admin_address, call_admin, status};
 use common::*;
 use expect_test::expect;
 use serde_json::{Value, json};
@@ -52,30 +53,20 @@
         let log_writer = log.clone();
         thread::spawn(move || lines.for_each(|line| log_writer.record(&line)));
         log.wait_for_prefix("server: serving on ", 1);
-        let text = log.0.0.lock().unwrap().clone();
-        let at = text.lines().find_map(|line| line.strip_prefix("admin: listening on ")).unwrap();
-        let at = at.parse().unwrap();
+        let at = admin_address(&log);
         let address = self.listener.local_addr().unwrap();
         (Balancer { process, address, config: self.directory.join("config.json"), log }, at)
     }
 }
 
 fn metric(admin: SocketAddr, name: &str) -> i64 {
-    let mut stream = TcpStream::connect(admin).unwrap();
-    write!(stream, "GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n").unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    let value = answer.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+    let metrics = call_admin(admin, "GET /_vars", "").unwrap().body;
+    let value = metrics.lines().find_map(|line| line.strip_prefix(name)).unwrap();
     value.split_once('|').unwrap().0.parse().unwrap()
 }
 
-fn call_admin(admin: SocketAddr, call: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(admin).unwrap();
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    write!(stream, "{call} HTTP/1.1\r\nHost: o\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer.split(' ').nth(1).unwrap_or("none").to_string()
+fn call_status(admin: SocketAddr, call: &str, body: &str) -> String {
+    call_admin(admin, call, body).map_or("none".to_string(), |answer| status(&answer))
 }
 
 /// Sends one request after another on a connection, and opens a new one when the balancer closes it. Returns
@@ -135,14 +126,14 @@
     let loads: Vec<_> = (0..6).map(|number| generate_load(old.address, number, stop.clone())).collect();
     let report = Trace::default();
     trace.wait_for_prefix("A: ", 20);
-    report.record(&format!("detach a at old: {}", call_admin(old_admin, "POST /_upstreams/detach", "a")));
+    report.record(&format!("detach a at old: {}", call_status(old_admin, "POST /_upstreams/detach", "a")));
     let (new, new_admin) = platform.start();
-    report.record(&format!("new: {}", call_admin(new_admin, "GET /_ready", "")));
+    report.record(&format!("new: {}", call_status(new_admin, "GET /_ready", "")));
     old.log.wait_for("server: successor process is serving");
-    report.record(&format!("old: {}", call_admin(old_admin, "GET /_ready", "")));
+    report.record(&format!("old: {}", call_status(old_admin, "GET /_ready", "")));
     // An override at one process also applies to the other: b is detached at both, and a is attached again.
-    report.record(&format!("attach a at old: {}", call_admin(old_admin, "POST /_upstreams/attach", "a")));
-    report.record(&format!("detach b at new: {}", call_admin(new_admin, "POST /_upstreams/detach", "b")));
+    report.record(&format!("attach a at old: {}", call_status(old_admin, "POST /_upstreams/attach", "a")));
+    report.record(&format!("detach b at new: {}", call_status(new_admin, "POST /_upstreams/detach", "b")));
     old.signal("TERM");
     report.record(&format!("old ended: {:?}", old.process.wait().unwrap().code()));
     // Requests that were in flight to b when it was detached may still arrive.
@@ -202,7 +193,7 @@
     observed.record(&format!("hangs: {}", line.starts_with("admin: listening on")));
     platform.config["discovery"] = known;
     Client::new(&old).get("/", "0").record_answer(&observed);
-    observed.record(&format!("old: {}", call_admin(old_admin, "GET /_ready", "")));
+    observed.record(&format!("old: {}", call_status(old_admin, "GET /_ready", "")));
     hung.kill().unwrap();
     hung.wait().unwrap();
     // A successor that is killed while it serves, and leaves its process file behind.
@@ -210,7 +201,7 @@
     old.log.wait_for("server: successor process is serving");
     drop(new);
     old.log.wait_for("server: successor process has exited");
-    observed.record(&format!("old: {}", call_admin(old_admin, "GET /_ready", "")));
+    observed.record(&format!("old: {}", call_status(old_admin, "GET /_ready", "")));
     Client::new(&old).get("/", "2").record_answer(&observed);
     trace.record("go on");
     pending_client.record_answer(&observed);
@@ -225,7 +216,7 @@
     let before = answered();
     (5..15).for_each(|id| drop(read_message(&mut Client::new(&new).get("/", &id.to_string()).0)));
     observed.record(&format!("requests answered by old: {}", answered() - before));
-    observed.record(&format!("new: {}", call_admin(new_admin, "GET /_ready", "")));
+    observed.record(&format!("new: {}", call_status(new_admin, "GET /_ready", "")));
     old.signal("TERM");
     Client::new(&new).get("/", "15").record_answer(&observed);
     observed.assert_matches(expect![[r#"
@@ -294,7 +285,7 @@
     assert!(!log.iter().any(|line| line.starts_with("server: serving on")), "{log:?}");
     assert!(log.iter().any(|line| line == "server: shutdown requested before serving"), "{log:?}");
     assert_eq!(new.wait().unwrap().code(), Some(0));
-    assert_eq!(call_admin(old_admin, "GET /_ready", ""), "200");
+    assert_eq!(call_status(old_admin, "GET /_ready", ""), "200");
     Client::new(&old).get("/", "1").record_answer(&trace);
     trace.assert_matches(expect![[r#"
         A: GET / HTTP/1.1 id 1 body ""
