--- a/crates/balancer/src/permits.rs
+++ b/crates/balancer/src/permits.rs
@@ -9,6 +9,8 @@
 use doorproxy_leases::proposer::HeldLease;
 use serde_json::{Value, json};
 
+/// Is the reason until the peer thread publishes one.
+const NOT_JOINED_REASON: &str = "this process has not joined the other balancers yet";
 /// Sets the minimum time for which a permit is requested after the call of a waiting caller.
 const MIN_WAIT_TIME: Ticks = Ticks(50_000);
 
@@ -50,7 +52,8 @@
     /// Creates a permit that isn't held. The clocks of callers and balancers differ in rate by up to the
     /// given ratio.
     pub fn new(clock_drift_ratio: f64) -> Permit {
-        Permit { clock_drift_ratio, callers: CallerGrants::default(), lease: None, reason: String::new() }
+        let reason = NOT_JOINED_REASON.to_string();
+        Permit { clock_drift_ratio, callers: CallerGrants::default(), lease: None, reason }
     }
 
     /// Publishes the lease that the peer thread holds, and why it holds none.
--- a/crates/balancer/tests/permits.rs
+++ b/crates/balancer/tests/permits.rs
@@ -97,6 +97,13 @@
     assert!(is_renewed(&mut permit, 1.0));
 }
 
+/// Prevents a refusal without a reason before the process has joined the other balancers.
+#[test]
+fn permit_gives_a_reason_from_the_start() {
+    let answer = call(&mut Permit::new(DRIFT), 0.0, "", PermitAction::Acquire, 0.0);
+    assert_eq!(answer["why"], "this process has not joined the other balancers yet");
+}
+
 /// Prevents a lease that is acquired for callers that gave up.
 #[test]
 fn permit_is_not_requested_once_nobody_waits() {
--- a/crates/cli/src/permit_command.rs
+++ b/crates/cli/src/permit_command.rs
@@ -76,7 +76,7 @@
     match remaining_seconds(&status, called_at) {
         None => println!("{} is released", command.name),
         Some(remaining_s) => println!(
-            "{} is given back; it is released in {remaining_s:.1} s, when other callers must have stopped",
+            "{} is given back; other callers hold it here for at least {remaining_s:.1} s more",
             command.name
         ),
     }
