--- a/crates/balancer/tests/permit_model.rs
+++ b/crates/balancer/tests/permit_model.rs
@@ -183,11 +183,15 @@
     fn initial_states(&self) -> Vec<State> {
         let holder =
             |index: usize| ProcessIdentity { node: NodeId(index as u64), incarnation: Incarnation(1) };
-        let balancer = |index| Balancer {
-            permit: Permit::new(0.0),
-            proposer: Proposer::new(holder(index), LEASE, DURATION, FencingToken(0)),
-            decision: None,
-            last_call_at: Timestamp(0),
+        let balancer = |index| {
+            let mut permit = Permit::new(0.0);
+            permit.publish(None, String::new());
+            Balancer {
+                permit,
+                proposer: Proposer::new(holder(index), LEASE, DURATION, FencingToken(0)),
+                decision: None,
+                last_call_at: Timestamp(0),
+            }
         };
         vec![State {
             now: START,
--- a/crates/quotas/tests/simulated.rs
+++ b/crates/quotas/tests/simulated.rs
@@ -12,6 +12,7 @@
 use doorproxy_leases::messages::{self as leases, FencingToken, ProcessIdentity};
 use doorproxy_membership::message::{Incarnation, NodeId};
 use doorproxy_membership::outgoing::OutgoingMessage;
+use doorproxy_model_checker::seed_count;
 use doorproxy_quotas::messages::{LimitId, Message};
 use doorproxy_quotas::node::{Outgoing, QuotaNode};
 use doorproxy_quotas::quota_client::SpendOutcome;
@@ -362,8 +363,7 @@
 
 #[test]
 fn bound_holds_and_limits_are_used_after_faults() {
-    // For a longer run: SEEDS=20000 cargo test --release -p doorproxy-quotas --test simulated -- --nocapture
-    let seeds = std::env::var("SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
+    let seeds = seed_count(60);
     for drift in [0.0, 0.05] {
         let SeedReport { violations, max_overshoot_ratio, min_used_ratio } = run_seeds(0..seeds, drift);
         println!(
