Use one platform and one report of the model checker in the tests

Cause: on reading the change again, the platform that starts a balancer on an inherited socket stood twice (upgrade.rs, common/replica.rs), the section [peers] of a fleet file three times, and two models formatted what Exploration displays already.

Change: common/platform.rs serves all four tests; the models print the Exploration. Assertions and literal expectations are unchanged; the text of a mutant's trace is the same.

--- a/crates/balancer/tests/permit_model.rs
+++ b/crates/balancer/tests/permit_model.rs
@@ -13,7 +13,7 @@
 use doorproxy_leases::messages::{FencingToken, LeaseId, LeaseRules, ProcessIdentity};
 use doorproxy_leases::proposer::{LeaseRequest, ProposalOutcome, ProposalStep, Proposer};
 use doorproxy_membership::message::{Incarnation, NodeId};
-use doorproxy_model_checker::{Exploration, Model, Successors, explore, max_states};
+use doorproxy_model_checker::{Model, Successors, explore, max_states};
 use expect_test::expect;
 
 const BALANCERS: usize = 2;
@@ -242,27 +242,13 @@
     }
 }
 
-fn format_exploration(exploration: &Exploration) -> String {
-    let Exploration { state_count, depth, is_truncated, violation } = exploration;
-    match violation {
-        None => {
-            let truncated = if *is_truncated { ", truncated" } else { "" };
-            format!("{state_count} states, {depth} steps deep{truncated}: no violation")
-        }
-        Some(violation) => {
-            let trace = violation.trace.join(", ");
-            format!("after {} steps: {}\n    {trace}", violation.trace.len(), violation.reason)
-        }
-    }
-}
-
 /// Prevents two holders of a slot in any order of calls, releases and time.
 #[test]
 fn callers_of_two_balancers_never_act_at_once() {
     for max_calls in [3, 4, 5] {
         let model = PermitModel { mutant: Mutant::None, max_calls };
         let exploration = explore(&model, 60, max_states(DEFAULT_MAX_STATES));
-        println!("{max_calls} calls: {}", format_exploration(&exploration));
+        println!("{max_calls} calls: {exploration}");
         assert_eq!(exploration.violation, None);
     }
 }
@@ -278,7 +264,7 @@
         Mutant::TellsAfterDecision,
     ] {
         let exploration = explore(&PermitModel { mutant, max_calls: 6 }, 60, 100_000);
-        report += &format!("mutant {mutant:?}: {}\n", format_exploration(&exploration));
+        report += &format!("mutant {mutant:?}: {exploration}\n");
     }
     expect![[r#"
         mutant ReleasesAfterRequestTime: after 12 steps: callers of two balancers act at once
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 pub mod admin;
-pub mod replica;
+pub mod platform;
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -198,6 +198,12 @@
         let kill = format!("kill -{name} {}", self.process.id());
         assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
     }
+
+    /// Asks the process to end, and waits until it has.
+    pub fn terminate(mut self) {
+        self.signal("TERM");
+        self.process.wait().unwrap();
+    }
 }
 
 impl Drop for Balancer {
--- a/crates/cli/tests/fleet_upgrades.rs
+++ b/crates/cli/tests/fleet_upgrades.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use common::admin::call_permit;
-use common::replica::{Platform, Process};
+use common::platform::{Platform, peers_section};
 use common::*;
 use doorproxy::ids::Ticks;
 use doorproxy::rng::Pcg;
@@ -90,10 +90,10 @@
     }
 }
 
-/// The balancers of a run. The newest process of each is the last; callers use the oldest.
+/// The balancers of a run. The newest process of each is the last, and callers use the admin API of the oldest.
 struct Fleet {
     platforms: Vec<Platform>,
-    processes: Vec<Mutex<VecDeque<Process>>>,
+    processes: Vec<Mutex<VecDeque<(Balancer, SocketAddr)>>>,
     observations: Arc<Observations>,
     is_over: AtomicBool,
 }
@@ -119,7 +119,7 @@
     }
 
     fn admin(&self, balancer: usize) -> Option<SocketAddr> {
-        self.processes[balancer].lock().unwrap().front().map(|process| process.admin)
+        self.processes[balancer].lock().unwrap().front().map(|(_, admin)| *admin)
     }
 
     /// Upgrades a balancer, or ends it and starts it again.
@@ -131,7 +131,7 @@
             self.processes[balancer].lock().unwrap().push_back(successor);
             thread::sleep(random_duration(rng, 3.5));
         }
-        let old = self.processes[balancer].lock().unwrap().pop_front().unwrap();
+        let (old, _) = self.processes[balancer].lock().unwrap().pop_front().unwrap();
         match rng.next_f64() {
             unit if unit < 0.5 => old.terminate(),
             unit if unit < 0.75 => drop(old),
@@ -215,18 +215,12 @@
     // Each request is sent once, so that what arrives is what the limit admitted.
     config["settings"]["limits"]["max_pushes"] = json!(1);
     config["settings"]["limits"]["second_copies"] = json!(false);
-    let keepers = addresses.iter().enumerate().map(|(index, address)| format!("n{index} = \"{address}\""));
-    let keepers = keepers.collect::<Vec<_>>().join(", ");
-    let own = addresses[ordinal];
-    Platform::new(config, |key| {
-        format!(
-            "[peers]\ncluster = \"upgrades\"\nlisten = \"{own}\"\nat = \"{own}\"\nkey = {key:?}\nzone = \"east\"\n\
-             cut_after = \"1s\"\ndrift = {DRIFT}\nkeepers = {{ {keepers} }}\n\
-             [leases]\nlength = \"{LEASE_S}s\"\npermits = {{ task = 1 }}\n\
-             [limits]\nlength = \"{CONTACT_TIMEOUT_S}s\"\nlease = \"{LEASE_S}s\"\n\
-             tenants = {{ acme = {{ rate = {RATE:?}, burst = {BURST:?}, strict = true }} }}\n"
-        )
-    })
+    let options = format!(
+        "cut_after = \"1s\"\ndrift = {DRIFT}\n[leases]\nlength = \"{LEASE_S}s\"\npermits = {{ task = 1 }}\n\
+         [limits]\nlength = \"{CONTACT_TIMEOUT_S}s\"\nlease = \"{LEASE_S}s\"\n\
+         tenants = {{ acme = {{ rate = {RATE:?}, burst = {BURST:?}, strict = true }} }}\n"
+    );
+    Platform::with_fleet(config, |key| peers_section(key, addresses, ordinal, &options))
 }
 
 /// Returns two callers of different balancers that acted at once, if there are any.
--- a/crates/cli/tests/keeper_upgrade.rs
+++ b/crates/cli/tests/keeper_upgrade.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::replica::{PEER_KEY, Platform};
+use common::platform::{CLUSTER, PEER_KEY, Platform, peers_section};
 use common::*;
 use doorproxy::ids::Ticks;
 use doorproxy_leases::messages as leases;
@@ -29,7 +29,6 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the test waits for an answer before it fails, also on a busy machine.
 const MAX_WAIT: Duration = Duration::from_secs(60);
-const CLUSTER: &str = "upgrade";
 /// The replica under test; the test answers at the addresses of the two others.
 const REPLICA: &str = "n1";
 const HOLDER: &str = "n0";
@@ -71,14 +70,12 @@
         let [holder, replica, candidate] = [0, 1, 2].map(|ordinal| peer_address(group, ordinal));
         let mut config = config(&[], closing_service(), 256);
         config["name"] = json!(REPLICA);
-        let platform = Platform::new(config, |key| {
-            format!(
-                "[peers]\ncluster = \"{CLUSTER}\"\nlisten = \"{replica}\"\nat = \"{replica}\"\nkey = {key:?}\n\
-                 zone = \"east\"\ncut_after = \"1s\"\ndrift = {DRIFT}\n\
-                 keepers = {{ {HOLDER} = \"{holder}\", {REPLICA} = \"{replica}\", {CANDIDATE} = \"{candidate}\" }}\n\
-                 [leases]\nlength = \"1s\"\npermits = {{ task = 1 }}\n\
+        let platform = Platform::with_fleet(config, |key| {
+            let options = format!(
+                "cut_after = \"1s\"\ndrift = {DRIFT}\n[leases]\nlength = \"1s\"\npermits = {{ task = 1 }}\n\
                  [limits]\nlease = \"1s\"\ntenants = {{ acme = {{ rate = 100.0, strict = true }} }}\n"
-            )
+            );
+            peers_section(key, [holder, replica, candidate], 1, &options)
         });
         let socket = UdpSocket::bind(holder).unwrap();
         socket.set_read_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
@@ -241,7 +238,7 @@
 #[test]
 fn upgraded_replica_forgets_no_holder() {
     let mut fleet = Fleet::new(1);
-    let old = fleet.platform.start();
+    let (old, _) = fleet.platform.start();
     let _new = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
     let counted_from = fleet.hold_all();
@@ -253,7 +250,7 @@
 #[test]
 fn replica_whose_predecessor_hung_forgets_no_holder() {
     let mut fleet = Fleet::new(2);
-    let old = fleet.platform.start();
+    let (old, _) = fleet.platform.start();
     let _new = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
     let counted_from = fleet.hold_all();
@@ -267,7 +264,7 @@
 #[test]
 fn replica_after_two_upgrades_forgets_no_holder() {
     let mut fleet = Fleet::new(3);
-    let first = fleet.platform.start();
+    let (first, _) = fleet.platform.start();
     let second = fleet.platform.start_successor();
     let _third = fleet.platform.start_successor();
     thread::sleep(MAX_GRACE);
@@ -283,9 +280,9 @@
 #[test]
 fn restarted_replica_forgets_no_holder() {
     let mut fleet = Fleet::new(4);
-    let old = fleet.platform.start();
+    let (old, _) = fleet.platform.start();
     let counted_from = fleet.hold_all();
     drop(old);
-    let _new = fleet.platform.start();
+    let _new = fleet.platform.start().0;
     fleet.check_first_answers(counted_from);
 }
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -3,13 +3,12 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::admin::{admin_address, call_permit};
-use common::replica::PEER_KEY;
+use common::admin::call_permit;
+use common::platform::{Platform, peers_section};
 use common::*;
 use serde_json::json;
 
@@ -19,43 +18,26 @@
 /// time for a busy machine.
 const MAX_WAIT: Duration = Duration::from_secs(90);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const NAMES: [&str; 3] = ["n0", "n1", "n2"];
 
 /// A balancer and the address of its admin API.
 struct Node {
-    _balancer: Balancer,
     admin: SocketAddr,
+    _balancer: Balancer,
+    _platform: Platform,
 }
 
-fn write_fleet_file(directory: &Path, ordinal: usize, permits: &[&str]) -> PathBuf {
-    let key = directory.join("key");
-    std::fs::write(&key, PEER_KEY).unwrap();
-    let replicas = NAMES.iter().enumerate();
-    let replicas = replicas.map(|(other, name)| format!("{name} = \"{}\"", peer_address(0, other as u8)));
-    let permits = permits.iter().map(|name| format!("{name} = 1"));
-    let text = format!(
-        "[peers]\ncluster = \"permits\"\nlisten = \"{at}\"\nat = \"{at}\"\nkey = {key:?}\nzone = \"east\"\n\
-         keepers = {{ {} }}\n[leases]\nlength = \"{}s\"\npermits = {{ {} }}\n",
-        replicas.collect::<Vec<_>>().join(", "),
-        LEASE.as_secs(),
-        permits.collect::<Vec<_>>().join(", "),
-        at = peer_address(0, ordinal as u8),
-    );
-    let path = directory.join(format!("n{ordinal}.toml"));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn start_fleet(directory: &Path, permits: &[&str]) -> Vec<Node> {
-    let start = |(ordinal, name): (usize, &&str)| {
-        let fleet = write_fleet_file(directory, ordinal, permits);
+fn start_fleet(permits: &[&str]) -> Vec<Node> {
+    let permits = permits.iter().map(|name| format!("{name} = 1")).collect::<Vec<_>>().join(", ");
+    let options = format!("[leases]\nlength = \"{}s\"\npermits = {{ {permits} }}\n", LEASE.as_secs());
+    let addresses = [0, 1, 2].map(|ordinal| peer_address(0, ordinal));
+    let start = |ordinal| {
         let mut config = config(&[], closing_service(), 256);
-        config["name"] = json!(name);
-        config["control"] = json!("127.0.0.1:0");
-        let balancer = start_with_fleet(&config.to_string(), Some(&fleet));
-        Node { admin: admin_address(&balancer.log), _balancer: balancer }
+        config["name"] = json!(format!("n{ordinal}"));
+        let platform = Platform::with_fleet(config, |key| peers_section(key, addresses, ordinal, &options));
+        let (balancer, admin) = platform.start();
+        Node { admin, _balancer: balancer, _platform: platform }
     };
-    NAMES.iter().enumerate().map(start).collect()
+    (0..addresses.len()).map(start).collect()
 }
 
 /// The time at which a caller was told that it holds a permit, and until when it may act.
@@ -92,8 +74,7 @@
 /// without it, when another caller of the balancer asks for a shorter time, or when that one gives it back.
 #[test]
 fn permit_lasts_as_long_as_each_caller_was_told() {
-    let directory = tempfile::tempdir().unwrap();
-    let nodes = start_fleet(directory.path(), &["alone", "shorter", "shared", "command"]);
+    let nodes = start_fleet(&["alone", "shorter", "shared", "command"]);
     let check = |name: &str, others: fn(&Node, &str), holding: fn(&Node, &str) -> Holding| {
         let first = holding(&nodes[0], name);
         others(&nodes[0], name);
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -5,58 +5,19 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
-use common::admin::{admin_address, call_admin, status};
+use common::admin::{call_admin, status};
+use common::platform::Platform;
 use common::*;
 use expect_test::expect;
 use serde_json::{Value, json};
 
-/// Stands in for the platform: holds the listening socket and the folder, which outlive the processes.
-struct Platform {
-    listener: TcpListener,
-    directory: PathBuf,
-    config: Value,
-}
-
-impl Platform {
-    fn new(name: &str, known: &[Value]) -> Platform {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let folder = format!("doorproxy-upgrade-{}-{name}", std::process::id());
-        let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
-        std::fs::create_dir_all(&directory).unwrap();
-        let mut config = config(known, closing_service(), 256);
-        config["listen"] = json!(listener.local_addr().unwrap());
-        Platform { listener, directory, config }
-    }
-
-    fn spawn(&self, accept: &str, socket: OwnedFd) -> Child {
-        let file = self.directory.join("config.json");
-        std::fs::write(&file, self.config.to_string()).unwrap();
-        // `Command` can pass the socket only as standard input; the shell moves it to descriptor 3, as on the
-        // platform.
-        let shell_command = format!("exec 3<&0 </dev/null; exec {} serve", env!("CARGO_BIN_EXE_doorproxy"));
-        let mut command = Command::new("sh");
-        command.arg("-c").arg(shell_command).stdin(Stdio::from(socket)).stderr(Stdio::piped());
-        command.env("TMPDIR", &self.directory).env("PROXY_CONFIG", file).env("PROXY_ACCEPT_FD", accept);
-        command.env("PROXY_CONTROL", "127.0.0.1:0").spawn().unwrap()
-    }
-
-    fn start(&self) -> (Balancer, SocketAddr) {
-        let mut process = self.spawn("3", self.listener.try_clone().unwrap().into());
-        let lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let log = Trace::default();
-        let log_writer = log.clone();
-        thread::spawn(move || lines.for_each(|line| log_writer.record(&line)));
-        log.wait_for_prefix("server: serving on ", 1);
-        let at = admin_address(&log);
-        let address = self.listener.local_addr().unwrap();
-        (Balancer { process, address, config: self.directory.join("config.json"), log }, at)
-    }
+fn platform(known: &[Value]) -> Platform {
+    Platform::new(config(known, closing_service(), 256))
 }
 
 fn metric(admin: SocketAddr, name: &str) -> i64 {
@@ -120,7 +81,7 @@
         endpoint_entry("a", test_endpoint("A", &trace), "active"),
         endpoint_entry("b", test_endpoint("B", &trace), "active"),
     ];
-    let platform = Platform::new("load", &known);
+    let platform = platform(&known);
     let (mut old, old_admin) = platform.start();
     let stop = Arc::new(AtomicBool::new(false));
     let loads: Vec<_> = (0..6).map(|number| generate_load(old.address, number, stop.clone())).collect();
@@ -170,7 +131,7 @@
 #[test]
 fn predecessor_serves_on_when_successor_dies() {
     let trace = Trace::default();
-    let mut platform = Platform::new("dies", &[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let mut platform = platform(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
     let (old, old_admin) = platform.start();
     let observed = Trace::default();
     let mut pending_client = Client::new(&old);
@@ -179,13 +140,13 @@
     // A successor that fails to start.
     let valid_config = platform.config.clone();
     platform.config["seed"] = json!("no seed");
-    let ended = platform.spawn("3", platform.listener.try_clone().unwrap().into()).wait().unwrap();
+    let ended = platform.spawn("3", platform.socket()).wait().unwrap();
     observed.record(&format!("can't start: {:?}", ended.code()));
     platform.config = valid_config;
     // A successor that hangs before it serves: it is stopped while it waits for an endpoint list that never
     // arrives.
     let known = std::mem::replace(&mut platform.config["discovery"], json!(unresponsive_service()));
-    let mut hung = platform.spawn("3", platform.listener.try_clone().unwrap().into());
+    let mut hung = platform.spawn("3", platform.socket());
     let mut line = String::new();
     BufReader::new(hung.stderr.take().unwrap()).read_line(&mut line).unwrap();
     let stop = format!("kill -STOP {}", hung.id());
@@ -237,16 +198,16 @@
 
 #[test]
 fn unusable_descriptor_fails_start_in_one_line() {
-    let mut platform = Platform::new("bad", &[]);
+    let mut platform = platform(&[]);
     let other_listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let connected = TcpStream::connect(other_listener.local_addr().unwrap()).unwrap();
-    let own = platform.listener.local_addr().unwrap().to_string();
+    let own = platform.address().to_string();
     let other = other_listener.local_addr().unwrap().to_string();
     let mut report = String::new();
     let sockets: [(&str, OwnedFd); 5] = [
-        ("three", platform.listener.try_clone().unwrap().into()),
-        ("77", platform.listener.try_clone().unwrap().into()),
-        ("1", platform.listener.try_clone().unwrap().into()),
+        ("three", platform.socket()),
+        ("77", platform.socket()),
+        ("1", platform.socket()),
         ("3", connected.into()),
         ("3", other_listener.into()),
     ];
@@ -272,11 +233,11 @@
 #[test]
 fn successor_terminated_before_ready_never_serves() {
     let trace = Trace::default();
-    let mut platform = Platform::new("ends", &[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let mut platform = platform(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
     let (old, old_admin) = platform.start();
     // The successor waits for an endpoint list that never arrives.
     platform.config["discovery"] = json!(unresponsive_service());
-    let mut new = platform.spawn("3", platform.listener.try_clone().unwrap().into());
+    let mut new = platform.spawn("3", platform.socket());
     let mut lines = BufReader::new(new.stderr.take().unwrap()).lines().map_while(Result::ok);
     assert!(lines.next().unwrap().starts_with("admin: listening on"));
     let stop = format!("kill -TERM {}", new.id());
--- a/crates/leases/tests/model.rs
+++ b/crates/leases/tests/model.rs
@@ -11,7 +11,7 @@
 use doorproxy_leases::messages::{FencingToken, LeaseId, LeaseRules, LeaseValue, Message, ProcessIdentity};
 use doorproxy_leases::proposer::{AbstractPhase, LeaseRequest, ProposalOutcome, ProposalStep, Proposer};
 use doorproxy_membership::message::{Incarnation, NodeId};
-use doorproxy_model_checker::{Exploration, Model, Successors, explore, max_states};
+use doorproxy_model_checker::{Model, Successors, explore, max_states};
 use expect_test::expect;
 
 const ACCEPTORS: usize = 3;
@@ -377,20 +377,6 @@
     }
 }
 
-fn format_exploration(exploration: &Exploration) -> String {
-    let Exploration { state_count, depth, is_truncated, violation } = exploration;
-    match violation {
-        None => {
-            let truncated = if *is_truncated { ", truncated" } else { "" };
-            format!("{state_count} states, {depth} steps deep{truncated}: no violation")
-        }
-        Some(violation) => {
-            let trace = violation.trace.join(", ");
-            format!("after {} steps: {}\n    {trace}", violation.trace.len(), violation.reason)
-        }
-    }
-}
-
 #[test]
 fn two_proposers_never_hold_the_lease_at_once() {
     for has_upgrade in [false, true] {
@@ -400,8 +386,9 @@
                 60,
                 max_states(DEFAULT_MAX_STATES),
             );
-            let report = format_exploration(&exploration);
-            println!("{max_restarts} restarts, upgrade {has_upgrade}, {max_proposals} proposals: {report}");
+            println!(
+                "{max_restarts} restarts, upgrade {has_upgrade}, {max_proposals} proposals: {exploration}"
+            );
             assert_eq!(exploration.violation, None);
         }
     }
@@ -421,7 +408,7 @@
     ] {
         let model = TwoProposers { mutant, max_restarts, has_upgrade, max_proposals: 2 };
         let exploration = explore(&model, 60, 400_000);
-        report += &format!("mutant {mutant:?}: {}\n", format_exploration(&exploration));
+        report += &format!("mutant {mutant:?}: {exploration}\n");
     }
     expect![[r#"
         mutant ExpiresEarly: after 11 steps: 2 hold the lease at once
