Use the terms of the vocabulary for grants of permits

Cause: added comments, tests and pages said that a caller is "told" a time, and one doc comment described a parameter that the method does not have.

No assertion, bound or decision changes.

--- a/crates/balancer/src/permits.rs
+++ b/crates/balancer/src/permits.rs
@@ -1,7 +1,7 @@
 //! A permit of this balancer, between the callers of the admin API and the peer thread, which holds its lease.
 //!
-//! Invariant: a caller is told a time only while the lease is held, and the decision to release the lease and
-//! the end of telling such times are one step.
+//! Invariant: a caller is granted a time only while the lease is held, and the decision to release the lease
+//! also ends such grants, in one step.
 
 use doorproxy::ids::{Ticks, Timestamp};
 use doorproxy_leases::caller_grants::{Caller, CallerGrants};
@@ -21,7 +21,7 @@
     Acquire,
     /// Ends the time of a caller that no longer acts.
     GiveBack,
-    /// Ends the wait of a caller that was not told that the permit is held.
+    /// Ends the wait of a caller that was granted no time.
     StopWaiting,
 }
 
@@ -63,7 +63,7 @@
     }
 
     /// Returns whether the lease is to be acquired and renewed. If not, it may be released: no caller acts
-    /// under it, and none is told a time before a lease is published again.
+    /// under it, and none is granted a time before a lease is published again.
     pub fn decide_renewal(&mut self, now: Timestamp) -> bool {
         let is_needed = self.callers.is_needed(now);
         if !is_needed {
@@ -72,8 +72,8 @@
         is_needed
     }
 
-    /// Carries out a call. A caller that is told that the permit is held may act for `for_s` seconds, counted
-    /// from before its call.
+    /// Carries out a call. A caller whose answer has `held` may act for `for_s` seconds, counted from before its
+    /// call.
     pub fn call(&mut self, now: Timestamp, call: &PermitCall) -> Value {
         match call.action {
             PermitAction::Acquire => self.acquire(now, &call.caller, call.renewal),
--- a/crates/balancer/tests/permit_model.rs
+++ b/crates/balancer/tests/permit_model.rs
@@ -33,14 +33,14 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Mutant {
     None,
-    /// A balancer releases the lease a fixed time after the last call, whatever it told.
+    /// A balancer releases the lease a fixed time after the last call, whatever it granted.
     ReleasesAfterRequestTime,
     /// A caller that gives up gives the permit back.
     GivesBackOnGivingUp,
     /// Two callers of a balancer use the same name.
     SharesName,
-    /// A balancer still tells callers a time after it decided to release the lease.
-    TellsAfterDecision,
+    /// A balancer still grants times after it decided to release the lease.
+    GrantsAfterDecision,
 }
 
 #[derive(Clone, Debug)]
@@ -147,8 +147,9 @@
         state.call_count += 1;
         if action == PermitAction::Acquire {
             balancer.last_call_at = state.now;
-            let told = answer["for_s"].as_f64().unwrap_or(0.0);
-            state.acts_until[caller] = state.acts_until[caller].max(state.now + Ticks::from_secs_f64(told));
+            let granted = answer["for_s"].as_f64().unwrap_or(0.0);
+            state.acts_until[caller] =
+                state.acts_until[caller].max(state.now + Ticks::from_secs_f64(granted));
         } else {
             state.acts_until[caller] = state.now;
         }
@@ -163,7 +164,7 @@
                 }
                 is_requested
             }
-            Mutant::TellsAfterDecision => balancer.permit.clone().decide_renewal(now),
+            Mutant::GrantsAfterDecision => balancer.permit.clone().decide_renewal(now),
             _ => balancer.permit.decide_renewal(now),
         }
     }
@@ -261,7 +262,7 @@
         Mutant::ReleasesAfterRequestTime,
         Mutant::GivesBackOnGivingUp,
         Mutant::SharesName,
-        Mutant::TellsAfterDecision,
+        Mutant::GrantsAfterDecision,
     ] {
         let exploration = explore(&PermitModel { mutant, max_calls: 6 }, 60, 100_000);
         report += &format!("mutant {mutant:?}: {exploration}\n");
@@ -273,7 +274,7 @@
             Acquire(0), Decide(0), CarryOut(0), Acquire(0), GiveUp(1), Decide(0), CarryOut(0), Acquire(2), Decide(1), CarryOut(1), Acquire(2)
         mutant SharesName: after 12 steps: callers of two balancers act at once
             Acquire(0), Decide(0), CarryOut(0), Acquire(0), Acquire(1), GiveBack(0), Decide(0), CarryOut(0), Acquire(2), Decide(1), CarryOut(1), Acquire(2)
-        mutant TellsAfterDecision: after 11 steps: callers of two balancers act at once
+        mutant GrantsAfterDecision: after 11 steps: callers of two balancers act at once
             Acquire(0), Decide(0), CarryOut(0), GiveUp(0), Decide(0), Acquire(0), CarryOut(0), Acquire(2), Decide(1), CarryOut(1), Acquire(2)
     "#]]
     .assert_eq(&report);
--- a/crates/balancer/tests/permits.rs
+++ b/crates/balancer/tests/permits.rs
@@ -41,17 +41,17 @@
 
 /// Prevents the release of a lease while a caller with a slower clock still acts.
 #[test]
-fn lease_is_renewed_until_the_told_time_is_over_by_any_clock() {
+fn lease_is_renewed_until_the_grant_is_over_by_any_clock() {
     let mut permit = held_permit();
     assert_eq!(acquire(&mut permit, 2.0, "", 0.0), Some(8.0));
-    let told_until = 2.0 + 8.0 * (1.0 + DRIFT) * (1.0 + DRIFT);
-    assert!(is_renewed(&mut permit, told_until));
-    assert!(!is_renewed(&mut permit, told_until + 0.001));
+    let granted_until = 2.0 + 8.0 * (1.0 + DRIFT) * (1.0 + DRIFT);
+    assert!(is_renewed(&mut permit, granted_until));
+    assert!(!is_renewed(&mut permit, granted_until + 0.001));
 }
 
 /// Prevents the release of a lease under a caller that acts, by other callers that ask for less or stop waiting.
 #[test]
-fn other_calls_do_not_shorten_a_told_time() {
+fn other_calls_do_not_shorten_a_granted_time() {
     let mut permit = held_permit();
     acquire(&mut permit, 0.0, "a", 20.0);
     acquire(&mut permit, 1.0, "b", 0.0);
@@ -61,7 +61,7 @@
     assert!(!is_renewed(&mut permit, 20.0));
 }
 
-/// Prevents a lease that is held for nobody, after its only caller gave it back.
+/// Prevents a lease that is held for no caller, after its only caller gave it back.
 #[test]
 fn lease_is_released_once_its_caller_gave_it_back() {
     let mut permit = held_permit();
@@ -88,9 +88,9 @@
     assert!(!is_renewed(&mut permit, 3.0));
 }
 
-/// Prevents that a caller is told a time between the decision to release the lease and its release.
+/// Prevents that a caller is granted a time between the decision to release the lease and its release.
 #[test]
-fn no_caller_is_told_a_time_once_the_release_is_decided() {
+fn no_time_is_granted_once_the_release_is_decided() {
     let mut permit = held_permit();
     assert!(!is_renewed(&mut permit, 1.0));
     assert_eq!(acquire(&mut permit, 1.0, "", 0.0), None);
@@ -106,7 +106,7 @@
 
 /// Prevents a lease that is acquired for callers that gave up.
 #[test]
-fn permit_is_not_requested_once_nobody_waits() {
+fn permit_is_not_requested_once_no_caller_waits() {
     let mut permit = Permit::new(DRIFT);
     assert_eq!(acquire(&mut permit, 0.0, "", 60.0), None);
     assert!(is_renewed(&mut permit, 59.9));
@@ -114,9 +114,9 @@
     assert!(!is_renewed(&mut permit, 1.0));
 }
 
-/// Prevents unbounded memory for callers, and that one beyond the bound is told a time.
+/// Prevents unbounded memory for callers, and that one beyond the bound is granted a time.
 #[test]
-fn callers_beyond_the_bound_are_told_no_time() {
+fn callers_beyond_the_bound_are_granted_no_time() {
     let mut permit = held_permit();
     for number in 0..MAX_CALLERS {
         assert!(acquire(&mut permit, 0.0, &format!("caller-{number}"), 0.0).is_some());
--- a/crates/cli/src/permit_command.rs
+++ b/crates/cli/src/permit_command.rs
@@ -83,8 +83,8 @@
     Ok(Answer::Yes)
 }
 
-/// Polls the balancer at least once. If the permit is not acquired in time, the balancer is told that this
-/// caller no longer waits, so that it doesn't acquire the permit later.
+/// Polls the balancer at least once. If the permit is not acquired in time, the balancer is notified that
+/// this caller no longer waits, so that it doesn't acquire the permit later.
 fn acquire(command: &PermitCommand) -> CommandResult {
     let started = Instant::now();
     loop {
--- a/crates/cli/tests/fleet_upgrades.rs
+++ b/crates/cli/tests/fleet_upgrades.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// A time for which a caller was told that it may act, until then or until it gave the permit back.
+/// A time that a caller was granted, until then or until it gave the permit back.
 #[derive(Clone, Copy, Debug)]
 struct Holding {
     caller: Caller,
@@ -160,13 +160,13 @@
                 continue;
             };
             let from = Instant::now();
-            let Some(told) = answer["for_s"].as_f64() else {
+            let Some(granted) = answer["for_s"].as_f64() else {
                 if rng.next_f64() < 0.1 {
                     call_permit(admin, "cancel", &format!("task 0 {name}"));
                 }
                 continue;
             };
-            let until = called_at + Duration::from_secs_f64(told);
+            let until = called_at + Duration::from_secs_f64(granted);
             self.observations.holdings.lock().unwrap().push(Holding { caller, from, until });
             if rng.next_f64() < 0.5 {
                 thread::sleep(random_duration(&mut rng, 0.5));
--- a/crates/cli/tests/permits.rs
+++ b/crates/cli/tests/permits.rs
@@ -40,13 +40,13 @@
     (0..addresses.len()).map(start).collect()
 }
 
-/// The time at which a caller was told that it holds a permit, and until when it may act.
+/// The time at which a caller got its answer that it holds a permit, and until when it may act.
 struct Holding {
     answered_at: Instant,
     until: Instant,
 }
 
-/// Asks for a permit until the caller is told that it holds it.
+/// Asks for a permit until the caller is granted a time.
 fn acquire(node: &Node, body: &str) -> Holding {
     let began = Instant::now();
     loop {
@@ -54,8 +54,8 @@
         let answer = call_permit(node.admin, "take", body).unwrap();
         let answered_at = Instant::now();
         if answer["held"] == true {
-            let told = Duration::from_secs_f64(answer["for_s"].as_f64().unwrap());
-            return Holding { answered_at, until: called_at + told };
+            let granted = Duration::from_secs_f64(answer["for_s"].as_f64().unwrap());
+            return Holding { answered_at, until: called_at + granted };
         }
         assert!(began.elapsed() < MAX_WAIT, "{body}: not acquired: {answer}");
         thread::sleep(POLL_INTERVAL);
@@ -70,10 +70,10 @@
     String::from_utf8(output.stdout).unwrap()
 }
 
-/// Prevents the release of a permit before the time that its caller was told: at the end of `--keep` or of 5 s
+/// Prevents the release of a permit before the end of the granted time: at the end of `--keep` or of 5 s
 /// without it, when another caller of the balancer asks for a shorter time, or when that one gives it back.
 #[test]
-fn permit_lasts_as_long_as_each_caller_was_told() {
+fn permit_lasts_as_long_as_was_granted_to_each_caller() {
     let nodes = start_fleet(&["alone", "shorter", "shared", "command"]);
     let check = |name: &str, others: fn(&Node, &str), holding: fn(&Node, &str) -> Holding| {
         let first = holding(&nodes[0], name);
--- a/crates/leases/src/caller_grants.rs
+++ b/crates/leases/src/caller_grants.rs
@@ -1,8 +1,8 @@
-//! Until when the callers of one process may act under a permit, as each of them was told.
+//! Tracks until when the callers of one process may act under a permit.
 //!
 //! The process holds the permit's lease for as long as [`CallerGrants::is_needed`] says, and releases it then.
-//! Invariant: it is needed until the end of every time that a caller was told, unless that caller gave the
-//! permit back. What other callers request, how their calls end and how long they asked for renewal changes
+//! Invariant: it is needed until the end of every time that a caller was granted, unless that caller gave
+//! the permit back. What other callers request, how their calls end and how long they asked for renewal changes
 //! nothing about this.
 
 use std::collections::BTreeMap;
@@ -16,20 +16,20 @@
 /// Identifies a caller among those of one process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Caller {
-    /// Gave no name, so it can't be told from other callers without one.
+    /// Gave no name, so it can't be distinguished from other callers without one.
     Unnamed,
     /// Gave this name, which no other caller of the process uses at the same time.
     Named(String),
 }
 
-/// Holds what the calls of one caller were told.
+/// Holds what the calls of one caller were granted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Grant {
-    /// Holds the end of the longest time that was told, by any clock within the drift.
+    /// Holds the end of the longest granted time, by any clock within the drift.
     acts_until: Timestamp,
     /// Holds until when the lease is renewed for the caller.
     renewed_until: Timestamp,
-    /// Holds the number of calls that were told a time and gave nothing back.
+    /// Holds the number of calls that were granted a time and gave nothing back.
     call_count: usize,
 }
 
@@ -47,7 +47,7 @@
 /// Holds the callers that act or wait at one process, for one permit.
 #[derive(Clone, Debug, PartialEq, Eq, Default)]
 pub struct CallerGrants {
-    /// Holds until when callers wait that were told no time yet.
+    /// Holds until when callers wait that were granted no time yet.
     waiting_until: Option<Timestamp>,
     grants: BTreeMap<Caller, Grant>,
 }
@@ -63,12 +63,11 @@
         self.waiting_until = None;
     }
 
-    /// Records that the caller is told that it may act for `duration`, which it counts on a clock of its own.
-    /// `stretched` is that duration with the clock drift, and `renewal` the time for which the caller wants
-    /// the lease to be renewed.
+    /// Grants the caller a time, which it counts on a clock of its own. `stretched` is that time with the clock
+    /// drift, and `renewal` the time for which the caller wants the lease to be renewed.
     ///
     /// # Errors
-    /// Returns an error if too many other callers act. The caller must not be told a time then.
+    /// Returns an error if too many other callers act. The caller is granted nothing then.
     pub fn grant(
         &mut self,
         now: Timestamp,
@@ -80,7 +79,7 @@
         if self.grants.len() >= MAX_CALLERS && !self.grants.contains_key(caller) {
             return Err(TooManyCallers);
         }
-        // Callers that still wait ask again, and are told a time like this one.
+        // Callers that still wait call again, and are granted a time then.
         self.stop_waiting();
         let none = Grant { acts_until: now, renewed_until: now, call_count: 0 };
         let grant = self.grants.entry(caller.clone()).or_insert(none);
--- a/crates/process-tests/src/permit_worker.rs
+++ b/crates/process-tests/src/permit_worker.rs
@@ -18,7 +18,7 @@
 /// The time after which a call is given up; a permit granted later would have expired already.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The caller that the worker names. Without a name, one call could not give back what several were told.
+/// The caller that the worker names. Without a name, one call could not give back what several were granted.
 const CALLER: &str = "worker";
 
 /// A permit that a balancer granted.
