Log each state change, and count closes, refusals and failed attempts by reason

Change: lines about the process's state don't count against the limit on the rate. DOORPROXY_TRACE=requests writes each final response with the id, the status and its age.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -5,6 +5,7 @@
 pub mod connection;
 pub mod connection_state;
 pub mod dispatch;
+pub mod event_counts;
 mod framing;
 mod handler;
 pub mod headers;
--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -12,12 +12,14 @@
 use tokio::sync::Notify;
 
 use crate::http::connection::ClientConnection;
+use crate::http::event_counts::EventCounts;
 use crate::http::lifecycle::Lifecycle;
 use crate::http::open_requests::OpenRequests;
 use crate::http::serve_connection::serve_connection;
 use crate::log_line;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Listener, Runtime, duration};
+use crate::state_line;
 use crate::sync::lock;
 
 /// Interval at which idle connections are evicted and the stall detector is updated.
@@ -38,6 +40,8 @@
     next_id: AtomicU64,
     connections: Mutex<BTreeMap<u64, Arc<ClientConnection<R>>>>,
     connection_closed: Notify,
+    /// Counts why connections closed and requests were not answered.
+    pub events: Arc<EventCounts>,
     stall_detector: Arc<Mutex<StallDetector>>,
 }
 
@@ -51,6 +55,7 @@
             next_id: AtomicU64::new(0),
             connections: Mutex::default(),
             connection_closed: Notify::new(),
+            events: Arc::default(),
             stall_detector,
         })
     }
@@ -86,15 +91,18 @@
     /// Logs how the shutdown ended: the number of connections that are open, of requests that were expired, and
     /// the requests that are lost. Returns the requests that are open.
     pub fn log_stopped(&self, lifecycle: &Lifecycle) -> OpenRequests {
-        log_line!(self.runtime, "server: stopped, {} connections were still open", self.count());
+        state_line!(self.runtime, "server: stopped, {} connections were still open", self.count());
         let expired = lifecycle.expired_requests();
         if expired > 0 {
-            log_line!(self.runtime, "server: {expired} requests were expired at the end of the grace period");
+            state_line!(
+                self.runtime,
+                "server: {expired} requests were expired at the end of the grace period"
+            );
         }
         let open_requests = self.open_requests();
         if !open_requests.is_empty() {
             let unanswered = open_requests.unanswered_count();
-            log_line!(self.runtime, "server: {unanswered} requests were lost: {open_requests}");
+            state_line!(self.runtime, "server: {unanswered} requests were lost: {open_requests}");
         }
         open_requests
     }
@@ -132,6 +140,7 @@
         loop {
             self.runtime.sleep(duration(MAINTENANCE_INTERVAL)).await;
             self.detect_stall();
+            self.report_events();
             let excess = self.count().saturating_sub(self.max_sockets() / IDLE_SOCKETS_DIVISOR);
             if excess > 0 {
                 self.close_idle(excess);
@@ -139,10 +148,20 @@
         }
     }
 
+    fn report_events(&self) {
+        if let Some(report) = self.events.take_report(self.runtime.now()) {
+            log_line!(self.runtime, "server: since the last report: {report}");
+        }
+    }
+
     fn detect_stall(&self) {
         let stall = lock(&self.stall_detector).tick(self.runtime.now(), self.runtime.caught_up_to());
         if let Some(stall) = stall {
-            log_line!(self.runtime, "server: process was stopped or got no CPU time for {} ms", stall.0 / 10);
+            state_line!(
+                self.runtime,
+                "server: process was stopped or got no CPU time for {} ms",
+                stall.0 / 10
+            );
         }
     }
 
@@ -197,12 +216,14 @@
             self.close_idle(1);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let client = Arc::new(ClientConnection::new(self.runtime.clone(), self.stall_detector.clone(), id));
+        let (runtime, stall_detector) = (self.runtime.clone(), self.stall_detector.clone());
+        let client = Arc::new(ClientConnection::new(runtime, stall_detector, self.events.clone(), id));
         self.connections().insert(id, client.clone());
         let connections = self.clone();
         let router = router.clone();
         self.runtime.spawn(async move {
-            serve_connection(&connections.runtime, router, stream, &client).await;
+            let reason = serve_connection(&connections.runtime, router, stream, &client).await;
+            connections.events.on_close(reason);
             connections.connections().remove(&id);
             connections.connection_closed.notify_one();
         });
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -5,11 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::Waker;
 
-use axum::http::HeaderValue;
+use axum::http::{HeaderValue, StatusCode};
 use doorproxy::ids::Timestamp;
 use tokio::sync::Notify;
 
 use crate::http::connection_state::ConnectionState;
+use crate::http::event_counts::EventCounts;
 use crate::http::framing::ClientError;
 use crate::http::open_requests::{OpenRequest, RequestPhase};
 use crate::http::unwritten_response::UnwrittenResponse;
@@ -18,10 +19,13 @@
 use crate::runtime::{Runtime, TraceTopic};
 use crate::sync::lock;
 
+const TICKS_PER_MS: i64 = 10;
+
 /// Tracks a client connection.
 pub struct ClientConnection<R> {
     runtime: R,
     stall_detector: Arc<Mutex<StallDetector>>,
+    events: Arc<EventCounts>,
     /// Number of the connection, unique in the process.
     id: u64,
     written_bytes: AtomicU64,
@@ -90,7 +94,12 @@
 
 impl<R: Runtime> ClientConnection<R> {
     /// Creates the state of a connection that was accepted just now.
-    pub fn new(runtime: R, stall_detector: Arc<Mutex<StallDetector>>, id: u64) -> ClientConnection<R> {
+    pub fn new(
+        runtime: R,
+        stall_detector: Arc<Mutex<StallDetector>>,
+        events: Arc<EventCounts>,
+        id: u64,
+    ) -> ClientConnection<R> {
         let now = runtime.now();
         let inner = Inner {
             state: ConnectionState::New(now),
@@ -107,6 +116,7 @@
         ClientConnection {
             runtime,
             stall_detector,
+            events,
             id,
             written_bytes: AtomicU64::new(0),
             inner: Mutex::new(inner),
@@ -115,6 +125,11 @@
         }
     }
 
+    /// Returns the counts of events of all connections.
+    pub fn events(&self) -> &Arc<EventCounts> {
+        &self.events
+    }
+
     /// Returns the number of the connection, unique in the process.
     pub fn id(&self) -> u64 {
         self.id
@@ -131,6 +146,20 @@
         }
     }
 
+    /// Writes the status of the response to the current request to the trace of requests, if that is on.
+    pub fn trace_response(&self, status: StatusCode) {
+        if self.runtime.traces(TraceTopic::Requests) {
+            let inner = self.inner();
+            let id = inner.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+            let age = self.runtime.now() - inner.last_received_at;
+            self.runtime.log_trace(format_args!(
+                "request {id}: {status}, {} ms after it arrived, client connection {}",
+                age.0 / TICKS_PER_MS,
+                self.id
+            ));
+        }
+    }
+
     /// Records that `bytes` bytes were written to the socket.
     pub fn on_bytes_written(&self, bytes: usize) {
         self.written_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
--- a/crates/balancer/src/http/dispatch.rs
+++ b/crates/balancer/src/http/dispatch.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::http::connection::ClientConnection;
+use crate::http::event_counts::EventCounts;
 use crate::http::lifecycle::Lifecycle;
 use crate::http::request_body::RequestBody;
 use crate::http::response_body::{ResponseBody, client_response};
@@ -128,7 +129,9 @@
                 NextStep::Attempt(attempt) => {
                     let sender = response_sender.clone();
                     let outgoing = outgoing.clone();
-                    runtime.spawn(run_attempt(runtime.clone(), service.clone(), attempt, outgoing, sender));
+                    let events = client.events().clone();
+                    let (runtime, service) = (runtime.clone(), service.clone());
+                    runtime.clone().spawn(run_attempt(runtime, service, attempt, outgoing, events, sender));
                 }
                 NextStep::Reject { retry_after } => return rejected_response(retry_after),
                 NextStep::Fail => return failed_response(),
@@ -162,11 +165,13 @@
     service: Arc<U>,
     attempt: Attempt,
     outgoing: Arc<OutgoingRequest>,
+    events: Arc<EventCounts>,
     response_sender: mpsc::Sender<Response<ResponseBody>>,
 ) {
     let dispatcher = service.dispatcher();
     let result = service.upstream_client().send_attempt(dispatcher, &attempt, &outgoing).await;
     runtime.attempt_finished(result.name());
+    events.on_attempt(&result);
     let is_final = dispatcher.report_attempt(runtime.now(), attempt, result.outcome());
     if let AttemptResult::Succeeded(response) = result
         && is_final
--- a/crates/balancer/src/http/handler.rs
+++ b/crates/balancer/src/http/handler.rs
@@ -71,6 +71,8 @@
     if response.extensions().get::<IsStreaming>().is_none() {
         server.components.metrics.count_outcome(&class, response.status().into());
     }
+    server.connections.events.on_response(response.status());
+    client.trace_response(response.status());
     announce_close(&server.lifecycle, &server.connections, &client, response)
 }
 
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -18,6 +18,7 @@
 use crate::http::MAX_STREAMED_BYTES;
 use crate::http::connection::ClientConnection;
 use crate::http::connection_state::ConnectionState;
+use crate::http::event_counts::CloseReason;
 use crate::http::framing::ClientError;
 use crate::http::request_fields::ID_HEADER;
 use crate::http::request_head::{HeadValidatingStream, MAX_HEAD_BYTES};
@@ -35,13 +36,13 @@
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 const DISCARD_BUFFER_BYTES: usize = 4096;
 
-/// Serves the requests of a connection until either side closes it.
+/// Serves the requests of a connection until either side closes it, and returns why it was closed.
 pub(super) async fn serve_connection<R: Runtime>(
     runtime: &R,
     router: Router,
     stream: R::Stream,
     client: &Arc<ClientConnection<R>>,
-) {
+) -> CloseReason {
     let stream = Arc::new(stream);
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         client.on_request_id(request.headers().get(ID_HEADER));
@@ -49,16 +50,18 @@
         let response = router.clone().call(request.map(Body::new));
         async move { response.await.map(|response| finish_response(client, response)) }
     });
-    {
+    let reason = {
         let connection = http1::Builder::new()
             .preserve_header_case(true)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(HeadValidatingStream::new(stream.clone(), client.clone()), service);
         tokio::pin!(connection);
-        drive(runtime, connection, &*stream, client).await;
-    }
+        drive(runtime, connection, &*stream, client).await
+    };
+    client.trace(reason.text());
     client.on_served();
     close_connection(runtime, &*stream, client).await;
+    reason
 }
 
 /// Updates the state of the connection, and adds `Connection: close` if it closes after the response.
@@ -79,7 +82,8 @@
     mut connection: Pin<&mut http1::Connection<HeadValidatingStream<R>, S>>,
     stream: &R::Stream,
     client: &ClientConnection<R>,
-) where
+) -> CloseReason
+where
     S: HttpService<Incoming, ResBody = Body>,
     S::Error: Into<BoxError>,
 {
@@ -89,11 +93,11 @@
         let deadline = client.deadline();
         tokio::select! {
             biased;
-            _ = connection.as_mut() => return client.trace("ended by the HTTP library"),
-            () = hidden_close.as_mut() => return client.trace("closed by the client"),
+            _ = connection.as_mut() => return CloseReason::Ended,
+            () = hidden_close.as_mut() => return CloseReason::ClosedBehindUnreadInput,
             () = client.close_requested.notified() => {
                 if client.is_rejected() {
-                    return;
+                    return CloseReason::Rejected;
                 }
                 if is_request_arriving(client, stream) {
                     continue;
@@ -107,18 +111,19 @@
                 }
                 if client.state().is_receiving() {
                     client.set_client_error(ClientError::Timeout);
+                    return CloseReason::RequestTimedOut;
                 }
-                return client.trace("timed out");
+                return CloseReason::TimedOut;
             }
         }
         tokio::select! {
             biased;
-            _ = connection.as_mut() => return client.trace("ended by the HTTP library"),
+            _ = connection.as_mut() => return CloseReason::Ended,
             () = runtime.sleep(duration(LINGER_TIME)) => {}
         }
         // The client does not read its response, or has no request.
         if !is_request_arriving(client, stream) && !client.has_request() {
-            return client.trace("closed after the linger time");
+            return CloseReason::Requested;
         }
     }
 }
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -28,6 +28,7 @@
 use crate::log_line;
 use crate::metrics::Metrics;
 use crate::runtime::{Listener, Runtime, duration};
+use crate::state_line;
 use crate::upstream::{self, UpstreamClient};
 
 pub use crate::http::SEND_BUFFER_BYTES;
@@ -134,7 +135,7 @@
         self.components.readiness.set_ready(!has_successor && !self.lifecycle.is_draining());
         self.components.delegate_warming(now, since);
         let change = if has_successor { "is serving" } else { "has exited" };
-        log_line!(self.runtime, "server: successor process {change}");
+        state_line!(self.runtime, "server: successor process {change}");
     }
 
     /// Restores the learned state that the predecessor saved if it is recent and was saved with the same
@@ -166,7 +167,7 @@
     tokio::pin!(shutdown);
     if has_predecessor {
         if wait_for_discovery(&server, shutdown.as_mut()).await.is_break() {
-            log_line!(server.runtime, "server: shutdown requested before serving");
+            state_line!(server.runtime, "server: shutdown requested before serving");
             return Ok(());
         }
         take_over(&server, siblings);
@@ -245,7 +246,7 @@
     server.components.readiness.set_ready(true);
     // If the configured port is 0, the operating system has chosen one.
     let address = listener.local_addr().unwrap_or(server.config.listen_address);
-    log_line!(server.runtime, "server: serving on {address}");
+    state_line!(server.runtime, "server: serving on {address}");
     Ok(())
 }
 
@@ -292,7 +293,7 @@
 fn on_shutdown<R: Runtime>(server: &Server<R>) -> Timestamp {
     server.components.readiness.set_ready(false);
     server.lifecycle.on_shutdown_requested(server.runtime.now());
-    log_line!(server.runtime, "server: shutdown requested");
+    state_line!(server.runtime, "server: shutdown requested");
     server.runtime.now()
 }
 
--- a/crates/balancer/src/runtime.rs
+++ b/crates/balancer/src/runtime.rs
@@ -35,6 +35,8 @@
     Attempts,
     /// The connections of clients.
     Connections,
+    /// The final responses to requests.
+    Requests,
 }
 
 /// Provides the clock, tasks, sockets and the log.
@@ -79,6 +81,12 @@
     /// Writes a log line without blocking.
     fn log(&self, line: Arguments);
 
+    /// Writes a log line about a change of the process's state without blocking. It does not count against the limit
+    /// on the rate of other lines.
+    fn log_state(&self, line: Arguments) {
+        self.log(line);
+    }
+
     /// Returns whether a topic is traced in the log.
     fn traces(&self, _topic: TraceTopic) -> bool {
         false
@@ -193,3 +201,11 @@
         $crate::runtime::Runtime::log(&$runtime, format_args!($($line)*))
     };
 }
+
+/// Writes a formatted line about a change of the process's state to the log of a [`Runtime`].
+#[macro_export]
+macro_rules! state_line {
+    ($runtime:expr, $($line:tt)*) => {
+        $crate::runtime::Runtime::log_state(&$runtime, format_args!($($line)*))
+    };
+}
--- a/crates/balancer/src/runtime/log.rs
+++ b/crates/balancer/src/runtime/log.rs
@@ -82,7 +82,8 @@
     }
 }
 
-/// Queues a line without a limit on their rate. It is lost if the queue is full.
-pub fn write_trace_line(line: Arguments) {
+/// Queues a line without a limit on their rate: a trace line, or a change of the process's state, which must not be
+/// suppressed. It is lost if the queue is full.
+pub fn write_unlimited_line(line: Arguments) {
     enqueue(line.to_string());
 }
--- a/crates/balancer/src/runtime/system.rs
+++ b/crates/balancer/src/runtime/system.rs
@@ -32,12 +32,14 @@
     event_loop: &'static EventLoopProgress,
     traces_attempts: bool,
     traces_connections: bool,
+    traces_requests: bool,
 }
 
 /// Environment variable that lists the topics to be traced, with commas between them.
 const TRACE_VARIABLE: &str = "DOORPROXY_TRACE";
 const TRACE_ATTEMPTS: &str = "attempts";
 const TRACE_CONNECTIONS: &str = "connections";
+const TRACE_REQUESTS: &str = "requests";
 
 /// Tracks up to which time the event loop has handled all input. A connection that is accepted in one turn of
 /// the loop is read in the next, so a poll counts as handled after two turns.
@@ -73,6 +75,7 @@
             event_loop: Box::leak(Box::default()),
             traces_attempts: has_topic(TRACE_ATTEMPTS),
             traces_connections: has_topic(TRACE_CONNECTIONS),
+            traces_requests: has_topic(TRACE_REQUESTS),
         }
     }
 
@@ -135,15 +138,20 @@
         log::write_line(line);
     }
 
+    fn log_state(&self, line: Arguments) {
+        log::write_unlimited_line(line);
+    }
+
     fn traces(&self, topic: TraceTopic) -> bool {
         match topic {
             TraceTopic::Attempts => self.traces_attempts,
             TraceTopic::Connections => self.traces_connections,
+            TraceTopic::Requests => self.traces_requests,
         }
     }
 
     fn log_trace(&self, line: Arguments) {
-        log::write_trace_line(line);
+        log::write_unlimited_line(line);
     }
 }
 
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -14,6 +14,7 @@
 use doorproxy_balancer::http::{LISTEN_BACKLOG, SEND_BUFFER_BYTES};
 use doorproxy_balancer::log_line;
 use doorproxy_balancer::runtime::{Listener, Runtime};
+use doorproxy_balancer::state_line;
 use doorproxy_balancer::sync::lock;
 use doorproxy_config::sidecar::{ListenAddress, SidecarConfig};
 use tokio::sync::mpsc;
@@ -92,7 +93,7 @@
         let listener = runtime
             .listen(address, SEND_BUFFER_BYTES, LISTEN_BACKLOG)
             .map_err(|source| SidecarError::Listen { address, source })?;
-        log_line!(*runtime, "server: serving on {}", listener.local_addr().unwrap_or(address));
+        state_line!(*runtime, "server: serving on {}", listener.local_addr().unwrap_or(address));
         listeners.push(Arc::new(listener));
     }
     Ok(listeners)
@@ -164,7 +165,7 @@
     mut listeners: Vec<Arc<R::Listener>>,
 ) -> Result<(), SidecarError> {
     let Sidecar { runtime, connections, lifecycle, .. } = sidecar;
-    log_line!(*runtime, "server: shutdown requested");
+    state_line!(*runtime, "server: shutdown requested");
     let requested_at = runtime.now();
     lifecycle.on_shutdown_requested(requested_at);
     runtime.sleep_until(requested_at + lifecycle.serving_time()).await;
