--- a/crates/balancer/src/http/request_body.rs
+++ b/crates/balancer/src/http/request_body.rs
@@ -20,7 +20,7 @@
 use crate::sync::lock;
 
 /// Upper bound on the bytes that kernel buffers hold for one connection.
-const MAX_IN_TRANSIT_BYTES: u64 = 4 << 20;
+pub const MAX_IN_TRANSIT_BYTES: u64 = 4 << 20;
 /// Interval at which a request is checked for its client's timeout while an attempt sends the body.
 const CLIENT_CHECK_INTERVAL: Ticks = Ticks(500);
 /// A streamed body is checked for a stall this many times per [`STREAM_IDLE_TIMEOUT`].
--- a/crates/cli/tests/gone.rs
+++ b/crates/cli/tests/gone.rs
@@ -272,3 +272,105 @@
         client: 200 "well", x-kept as it came
     "#]]);
 }
+
+/// Prevents that a request is sent on after its client has closed the connection: more input lay unread before the
+/// close than is read ahead, so the close was not seen when the response to the request before was finished.
+#[test]
+fn pipelined_request_is_not_sent_after_a_close_behind_unread_input() {
+    let trace = Trace::default();
+    let balancer = start(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let mut client = Client::new(&balancer);
+    client.get("/slow", "1");
+    trace.wait_for("A: GET /slow HTTP/1.1 id 1 body \"\"");
+    let body = "x".repeat(60_000);
+    for id in 2..20 {
+        let fields = request_headers(&id.to_string(), "buy");
+        client.send(&format!("POST / HTTP/1.1\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len()));
+    }
+    drop(client);
+    // A request that begins up to 0.1 s after the close is allowed.
+    thread::sleep(Duration::from_millis(200));
+    trace.record("go on");
+    let answers = Trace::default();
+    record_next_request(&balancer, &answers);
+    thread::sleep(Duration::from_millis(200));
+    let text = trace.0.0.lock().unwrap().clone();
+    assert!(
+        !text.contains("A: POST"),
+        "{}",
+        text.lines().map(|line| &line[..line.len().min(60)]).collect::<Vec<_>>().join("\n")
+    );
+}
+
+/// Prevents that an upload runs whose client left while it waited for an endpoint: the close lies behind more of the
+/// body than is read before an attempt sends it.
+#[test]
+fn upload_is_not_completed_after_a_close_behind_its_body() {
+    let blocked = BlockedEndpoint::new();
+    let balancer = start_from(
+        &config_with_long_connect_timeout(
+            &[endpoint_entry("a", blocked.address, "active")],
+            closing_service(),
+        )
+        .to_string(),
+    );
+    let mut client = Client::new(&balancer);
+    let body = "x".repeat(1_000_000);
+    client.send(&format!(
+        "POST / HTTP/1.1\r\n{}Content-Length: {}\r\n\r\n{body}",
+        request_headers("1", "buy"),
+        body.len()
+    ));
+    blocked.wait_for_connect();
+    drop(client);
+    thread::sleep(Duration::from_millis(200));
+    let completed = blocked.accept_first();
+    assert!(completed.is_none(), "{}", completed.unwrap().head);
+}
+
+/// Prevents that an effect happens twice: the id of a request that may have run comes again on another connection
+/// after its client has left, or after its response.
+#[test]
+fn id_of_a_request_that_may_have_run_is_not_sent_again() {
+    let trace = Trace::default();
+    let balancer = start(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let answers = Trace::default();
+    let mut client = Client::new(&balancer);
+    client.post("/hang", "left");
+    trace.wait_for("A: POST /hang HTTP/1.1 id left body \"one\"");
+    drop(client);
+    trace.wait_for("A: connection closed: true");
+    Client::new(&balancer).post("/", "left").record_answer(&answers);
+    Client::new(&balancer).post("/", "answered").record_answer(&answers);
+    Client::new(&balancer).post("/", "answered").record_answer(&answers);
+    // What may run any number of times is sent again.
+    Client::new(&balancer).get("/", "look").record_answer(&answers);
+    Client::new(&balancer).get("/", "look").record_answer(&answers);
+    answers.assert_matches(expect![[r#"
+        client: 409 "req-id: a request with this id may have run"
+        client: 200 "well", x-kept as it came
+        client: 409 "req-id: a request with this id may have run"
+        client: 200 "well", x-kept as it came
+        client: 200 "well", x-kept as it came
+    "#]]);
+    trace.assert_matches(expect![[r#"
+        A: POST /hang HTTP/1.1 id left body "one"
+        A: connection closed: true
+        A: POST / HTTP/1.1 id answered body "one"
+        A: GET / HTTP/1.1 id look body ""
+        A: GET / HTTP/1.1 id look body ""
+    "#]]);
+}
+
+/// Prevents that an id is refused although its request never ran: an endpoint declined it.
+#[test]
+fn id_of_a_request_that_never_ran_is_sent_again() {
+    let trace = Trace::default();
+    let balancer = start(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let answers = Trace::default();
+    Client::new(&balancer).post("/decline", "1").record_answer(&answers);
+    thread::sleep(Duration::from_millis(100));
+    Client::new(&balancer).post("/", "1").record_answer(&answers);
+    let text = answers.0.0.lock().unwrap().clone();
+    assert!(!text.contains("409"), "{text}");
+}
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -253,3 +253,33 @@
         client: 200 "well", x-kept as it came
     "#]]);
 }
+
+/// Prevents that an effect happens twice in an upgrade: the id of a request that one process has sent comes again at
+/// the other after its client has left.
+#[test]
+fn id_that_one_process_sent_is_not_sent_by_the_other() {
+    let trace = Trace::default();
+    let platform = platform(&[endpoint_entry("a", test_endpoint("A", &trace), "active")]);
+    let (old, _) = platform.start();
+    let answers = Trace::default();
+    let mut kept_client = Client::new(&old);
+    kept_client.post("/", "first").record_answer(&answers);
+    let mut leaving_client = Client::new(&old);
+    leaving_client.post("/hang", "left").send("");
+    trace.wait_for("A: POST /hang HTTP/1.1 id left body \"one\"");
+    let (new, _) = platform.start();
+    old.log.wait_for("server: successor process is serving");
+    drop(leaving_client);
+    trace.wait_for("A: connection closed: true");
+    Client::new(&new).post("/", "left").record_answer(&answers);
+    Client::new(&new).post("/", "first").record_answer(&answers);
+    Client::new(&new).post("/", "second").record_answer(&answers);
+    kept_client.post("/", "second").record_answer(&answers);
+    answers.assert_matches(expect![[r#"
+        client: 200 "well", x-kept as it came
+        client: 409 "req-id: a request with this id may have run"
+        client: 409 "req-id: a request with this id may have run"
+        client: 200 "well", x-kept as it came
+        client: 409 "req-id: a request with this id may have run", connection close
+    "#]]);
+}
