Don't cut off a response that has begun and pauses

Cause: an attempt ended as 'connection reset' when a response that had begun made no progress for twice the connect timeout. A silence proves nothing of the endpoint, and the bound had no relation to the time that the client waits.

Change: the bound is gone. An attempt waits until the deadline of its request, or until it is cancelled; a request that may run again gets a hedged attempt meanwhile, as before.

--- a/crates/balancer/src/upstream/exchange.rs
+++ b/crates/balancer/src/upstream/exchange.rs
@@ -15,11 +15,9 @@
 use crate::upstream::connection::{ExchangeError, UpstreamConnection};
 use crate::upstream::reservation::Reservation;
 use crate::upstream::response_check::{HeadDigest, ResponseDigest};
+use crate::upstream::stream::ExchangeState;
 use crate::upstream::{AttemptResult, AttemptTarget, OutgoingRequest, UpstreamClient, outgoing, response};
 
-/// A response counts as stalled after this multiple of the connect timeout without progress.
-const RESPONSE_STALL_FACTOR: f64 = 2.0;
-
 /// States what was received in an exchange.
 enum Received {
     /// The result of the attempt.
@@ -36,6 +34,16 @@
     reservation: Reservation,
 }
 
+/// Returns the result of an attempt that ended without a response.
+fn unanswered_result(error: ExchangeError, exchange_state: &ExchangeState) -> AttemptResult {
+    match error {
+        ExchangeError::Withheld => AttemptResult::NotSent,
+        ExchangeError::NotSent if exchange_state.was_used() => AttemptResult::ClosedBeforeSent,
+        ExchangeError::NotSent => AttemptResult::ConnectFailed,
+        ExchangeError::ConnectionBroken => AttemptResult::ConnectionReset,
+    }
+}
+
 impl<R: Runtime> UpstreamClient<R> {
     /// Sends a request on a connection from the pool, and returns the result of the attempt.
     pub(super) async fn exchange(
@@ -51,31 +59,13 @@
         let exchange_state = connection.exchange_state();
         trace.set_connection(&exchange_state);
         trace.record("connection acquired");
-        let exchange = async {
-            let request = outgoing.to_request(target.address, remaining);
-            let error = match connection.exchange(request, may_begin).await {
-                Ok(response) => {
-                    trace.record("response head");
-                    return self.receive(target, connection, response).await;
-                }
-                Err(error) => error,
-            };
-            Received::Result(match error {
-                ExchangeError::Withheld => AttemptResult::NotSent,
-                ExchangeError::NotSent if exchange_state.was_used() => AttemptResult::ClosedBeforeSent,
-                ExchangeError::NotSent => AttemptResult::ConnectFailed,
-                ExchangeError::ConnectionBroken => AttemptResult::ConnectionReset,
-            })
-        };
-        let stall_timeout = self.timeouts.connect.mul_f64(RESPONSE_STALL_FACTOR);
-        let received = tokio::select! {
-            biased;
-            received = exchange => received,
-            () = response::wait_for_response_stall(&self.runtime, &exchange_state, stall_timeout) => {
-                Received::Result(AttemptResult::ConnectionReset)
-            }
+        let request = outgoing.to_request(target.address, remaining);
+        let response = match connection.exchange(request, may_begin).await {
+            Ok(response) => response,
+            Err(error) => return unanswered_result(error, &exchange_state),
         };
-        match received {
+        trace.record("response head");
+        match self.receive(target, connection, response).await {
             Received::Result(result) => result,
             Received::InDoubt(in_doubt) => self.resolve_doubt(target, in_doubt, trace).await,
         }
--- a/crates/balancer/src/upstream/response.rs
+++ b/crates/balancer/src/upstream/response.rs
@@ -10,9 +10,8 @@
 use crate::http::body::{BodyError, collect_body};
 use crate::http::headers::remove_hop_by_hop_headers;
 use crate::http::response_body;
-use crate::runtime::{Runtime, duration};
+use crate::runtime::Runtime;
 use crate::upstream::attempt_result::AttemptResult;
-use crate::upstream::stream::ExchangeState;
 
 /// Header field that declares, with the value `1`, that the endpoint did not start to process a rejected
 /// request.
@@ -20,8 +19,6 @@
 /// Maximum time for reading the body of a response that is not forwarded, which is read only so that its
 /// connection can be reused.
 const RESPONSE_DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
-/// Interval between checks of a response for a stall, as a fraction of the timeout.
-const STALL_CHECK_RATIO: f64 = 0.5;
 
 /// Reads a successful response, and classifies any other by its head alone, so that no request waits for the
 /// body of a failure.
@@ -71,19 +68,3 @@
         Err(BodyError::Incomplete) => AttemptResult::ConnectionReset,
     }
 }
-
-/// Completes once a response has started and made no progress for `timeout`. A stalled response would
-/// otherwise hold the request until its deadline.
-pub(super) async fn wait_for_response_stall<R: Runtime>(
-    runtime: &R,
-    exchange_state: &ExchangeState,
-    timeout: Ticks,
-) {
-    loop {
-        runtime.sleep(duration(timeout.mul_f64(STALL_CHECK_RATIO))).await;
-        let last_read_at = exchange_state.last_read_at();
-        if last_read_at.is_some_and(|last_read_at| runtime.now() - last_read_at >= timeout) {
-            return;
-        }
-    }
-}
