Bound the memory of all buffers together by limits.memory_mb

Cause: each buffer had a bound, and their sum had none; limits.memory_mb was not read. A connection also cost 8.7 kB more than needed, since the buffer that discards input stood twice in its task.

Change: MemoryBudget counts what grows with the bytes of a connection: bodies, heads, pipelined input, streams. A request that does not fit is answered 503 before any attempt, which proves that it never ran; a response is streamed in place of being buffered; under scarcity reads are short and a stream waits for its client. Sockets are capped to what half of the limit suffices for. Two processes of an upgrade have half each.

--- a/crates/balancer/src/assembly.rs
+++ b/crates/balancer/src/assembly.rs
@@ -15,6 +15,7 @@
 use crate::config::Config;
 use crate::discovery::{DiscoveryState, Watcher, apply_list};
 use crate::http::server::{self, ServeError, Server};
+use crate::memory::{DEFAULT_LIMIT_MB, MemoryBudget};
 use crate::metrics::Metrics;
 use crate::recovery::InitialEndpoints;
 use crate::runtime::{Runtime, dispatcher_driver};
@@ -38,13 +39,17 @@
         keepalive: config.keepalive_timeout,
         response_buffering: config.settings.min_latency_objective().mul_f64(RESPONSE_BUFFERING_RATIO),
     };
-    let max_sockets = config.max_sockets - config.admin_address.map_or(0, |_| ADMIN_DESCRIPTORS);
+    let memory = MemoryBudget::new(config.memory_mb.unwrap_or(DEFAULT_LIMIT_MB), config.max_sockets);
+    let configured_sockets =
+        if config.memory_mb.is_some() { memory.max_sockets() } else { config.max_sockets };
+    let max_sockets = configured_sockets - config.admin_address.map_or(0, |_| ADMIN_DESCRIPTORS);
     let metrics = Arc::new(new_metrics(config));
     let upstream_client = Arc::new(UpstreamClient::new(
         runtime.clone(),
         timeouts,
         max_upstream_sockets(max_sockets),
         metrics.clone(),
+        memory.clone(),
         |status| status == StatusCode::OK,
     ));
     let effects = Box::new(UpstreamEffects(upstream_client.clone()));
@@ -58,6 +63,7 @@
         peers: None,
         fleet_overrides: None,
         max_sockets,
+        memory,
     }
 }
 
--- a/crates/balancer/src/components.rs
+++ b/crates/balancer/src/components.rs
@@ -8,6 +8,7 @@
 use crate::admin::FleetOverrides;
 use crate::discovery::{DiscoveryState, apply_updates};
 use crate::handover::Siblings;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::SharedPeerState;
 use crate::readiness::Readiness;
@@ -37,6 +38,8 @@
     pub fleet_overrides: Option<Arc<FleetOverrides>>,
     /// Limits the sockets that clients and endpoints use together.
     pub max_sockets: usize,
+    /// Bounds the memory of all buffers.
+    pub memory: MemoryBudget,
 }
 
 impl<R: Runtime> Components<R> {
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -16,6 +16,7 @@
 
 use crate::config::file::{ConfigFile, NameTables, NamedEntry, flatten_settings, index_names};
 use crate::discovery::EndpointList;
+use crate::memory::MIN_LIMIT_MB;
 
 pub use error::{ConfigError, ConfigErrorKind};
 
@@ -38,6 +39,8 @@
     pub seed: u64,
     /// Limits the sockets of the process.
     pub max_sockets: usize,
+    /// Limits the memory of the process in megabytes, if the file does.
+    pub memory_mb: Option<usize>,
     /// Holds the endpoints to start with.
     pub known_endpoints: EndpointList,
     /// Holds the hash of all settings; ids and learned state are valid only under equal settings.
@@ -112,6 +115,9 @@
     if file.limits.sockets < MIN_SOCKETS {
         return Err(ConfigErrorKind::TooFewSockets { min: MIN_SOCKETS, found: file.limits.sockets });
     }
+    if let Some(found) = file.limits.memory_mb.filter(|found| *found < MIN_LIMIT_MB) {
+        return Err(ConfigErrorKind::TooLittleMemory { min: MIN_LIMIT_MB, found });
+    }
     if file.has_disabled_probes() {
         return Err(ConfigErrorKind::ProbesDisabled);
     }
@@ -123,6 +129,7 @@
         discovery_address: file.discovery,
         seed,
         max_sockets: file.limits.sockets,
+        memory_mb: file.limits.memory_mb,
         known_endpoints: file.known_endpoints,
         settings_hash: hash_text(&file.settings.to_string()),
         settings: fields.decode()?,
@@ -143,7 +150,7 @@
             ("listen", self.listen_address != newer.listen_address),
             ("control", self.admin_address != newer.admin_address),
             ("seed", self.seed != newer.seed),
-            ("limits", self.max_sockets != newer.max_sockets),
+            ("limits", self.max_sockets != newer.max_sockets || self.memory_mb != newer.memory_mb),
             ("settings", self.settings_hash != newer.settings_hash),
         ];
         changes.into_iter().filter(|(_, has_changed)| *has_changed).map(|(key, _)| key).collect()
--- a/crates/balancer/src/config/error.rs
+++ b/crates/balancer/src/config/error.rs
@@ -43,6 +43,14 @@
         /// Holds the configured number.
         found: usize,
     },
+    /// The memory limit is too low.
+    #[error("limits.memory_mb: {found} is too little; expected {min} or more")]
+    TooLittleMemory {
+        /// The minimum.
+        min: usize,
+        /// The configured limit.
+        found: usize,
+    },
     /// A setting is missing or malformed.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
--- a/crates/balancer/src/config/file.rs
+++ b/crates/balancer/src/config/file.rs
@@ -26,6 +26,7 @@
 #[derive(Deserialize)]
 pub(super) struct FileLimits {
     pub sockets: usize,
+    pub memory_mb: Option<usize>,
 }
 
 #[derive(Deserialize)]
--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -8,6 +8,7 @@
 pub mod event_counts;
 mod framing;
 mod handler;
+pub mod head_memory;
 pub mod headers;
 pub mod lifecycle;
 pub mod open_requests;
--- a/crates/balancer/src/http/body.rs
+++ b/crates/balancer/src/http/body.rs
@@ -17,6 +17,9 @@
     /// The connection broke before the last byte of the body.
     #[error("incomplete")]
     Incomplete,
+    /// The buffers of all connections hold as much as they may.
+    #[error("too many large requests at once; this one did not run")]
+    OutOfMemory,
 }
 
 /// Buffers a body of at most [`MAX_BUFFERED_BYTES`].
--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -11,12 +11,13 @@
 use doorproxy::ids::{Ticks, Timestamp};
 use tokio::sync::Notify;
 
-use crate::http::connection::ClientConnection;
+use crate::http::connection::{ClientConnection, ServerContext};
 use crate::http::event_counts::EventCounts;
 use crate::http::lifecycle::Lifecycle;
 use crate::http::open_requests::OpenRequests;
 use crate::http::serve_connection::serve_connection;
 use crate::log_line;
+use crate::memory::MemoryBudget;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Listener, Runtime, duration};
 use crate::state_line;
@@ -40,26 +41,38 @@
     next_id: AtomicU64,
     connections: Mutex<BTreeMap<u64, Arc<ClientConnection<R>>>>,
     connection_closed: Notify,
-    /// Counts why connections closed and requests were not answered.
-    pub events: Arc<EventCounts>,
-    stall_detector: Arc<Mutex<StallDetector>>,
+    context: Arc<ServerContext>,
 }
 
 impl<R: Runtime> ClientConnections<R> {
-    /// Creates an empty set. The process may use `max_sockets` sockets for clients and endpoints together.
-    pub fn new(runtime: R, max_sockets: usize) -> Arc<ClientConnections<R>> {
-        let stall_detector = Arc::new(Mutex::new(StallDetector::new(runtime.now())));
+    /// Creates an empty set. The process may use `max_sockets` sockets for clients and endpoints together, and
+    /// `memory` for all buffers.
+    pub fn new(runtime: R, max_sockets: usize, memory: MemoryBudget) -> Arc<ClientConnections<R>> {
+        let context = ServerContext {
+            stall_detector: Mutex::new(StallDetector::new(runtime.now())),
+            events: Arc::default(),
+            memory,
+        };
         Arc::new(ClientConnections {
             runtime,
             max_sockets: AtomicUsize::new(max_sockets),
             next_id: AtomicU64::new(0),
             connections: Mutex::default(),
             connection_closed: Notify::new(),
-            events: Arc::default(),
-            stall_detector,
+            context: Arc::new(context),
         })
     }
 
+    /// Returns the counts of why connections closed and requests were not answered.
+    pub fn events(&self) -> &Arc<EventCounts> {
+        &self.context.events
+    }
+
+    /// Returns the bound on the memory of all buffers.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.context.memory
+    }
+
     /// Changes the number of sockets that the process may use; sibling processes use the rest.
     pub fn set_max_sockets(&self, max_sockets: usize) {
         self.max_sockets.store(max_sockets, Ordering::Relaxed);
@@ -149,13 +162,13 @@
     }
 
     fn report_events(&self) {
-        if let Some(report) = self.events.take_report(self.runtime.now()) {
+        if let Some(report) = self.events().take_report(self.runtime.now()) {
             log_line!(self.runtime, "server: since the last report: {report}");
         }
     }
 
     fn detect_stall(&self) {
-        let stall = lock(&self.stall_detector).tick(self.runtime.now(), self.runtime.caught_up_to());
+        let stall = lock(&self.context.stall_detector).tick(self.runtime.now(), self.runtime.caught_up_to());
         if let Some(stall) = stall {
             state_line!(
                 self.runtime,
@@ -216,14 +229,13 @@
             self.close_idle(1);
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (runtime, stall_detector) = (self.runtime.clone(), self.stall_detector.clone());
-        let client = Arc::new(ClientConnection::new(runtime, stall_detector, self.events.clone(), id));
+        let client = Arc::new(ClientConnection::new(self.runtime.clone(), self.context.clone(), id));
         self.connections().insert(id, client.clone());
         let connections = self.clone();
         let router = router.clone();
         self.runtime.spawn(async move {
             let reason = serve_connection(&connections.runtime, router, stream, &client).await;
-            connections.events.on_close(reason);
+            connections.events().on_close(reason);
             connections.connections().remove(&id);
             connections.connection_closed.notify_one();
         });
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 
 use axum::http::{HeaderValue, StatusCode};
 use doorproxy::ids::Timestamp;
@@ -14,6 +14,7 @@
 use crate::http::framing::ClientError;
 use crate::http::open_requests::{OpenRequest, RequestPhase};
 use crate::http::unwritten_response::UnwrittenResponse;
+use crate::memory::MemoryBudget;
 use crate::metrics::InFlightGuard;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Runtime, TraceTopic};
@@ -21,11 +22,20 @@
 
 const TICKS_PER_MS: i64 = 10;
 
+/// Holds what all client connections of a process share.
+pub struct ServerContext {
+    /// Dates input that arrived while the process did not run.
+    pub stall_detector: Mutex<StallDetector>,
+    /// Counts why connections closed and requests were not answered.
+    pub events: Arc<EventCounts>,
+    /// Bounds the memory of all buffers.
+    pub memory: MemoryBudget,
+}
+
 /// Tracks a client connection.
 pub struct ClientConnection<R> {
     runtime: R,
-    stall_detector: Arc<Mutex<StallDetector>>,
-    events: Arc<EventCounts>,
+    context: Arc<ServerContext>,
     /// Number of the connection, unique in the process.
     id: u64,
     written_bytes: AtomicU64,
@@ -52,6 +62,10 @@
     in_flight: Option<InFlightGuard>,
     /// The latest response, until the HTTP library has written all of it.
     unwritten: Option<UnwrittenResponse>,
+    /// Whether the HTTP library holds bytes of the response that are not written.
+    has_unflushed_bytes: bool,
+    /// Wakes the task that streams a response once the HTTP library has written all that it holds.
+    flush_waiter: Option<Waker>,
     /// Wakes the reader of the input after the current request, of which some has arrived.
     pipelined_input: Option<Waker>,
     /// Arrival time of the last bytes that had to be waited for.
@@ -94,12 +108,7 @@
 
 impl<R: Runtime> ClientConnection<R> {
     /// Creates the state of a connection that was accepted just now.
-    pub fn new(
-        runtime: R,
-        stall_detector: Arc<Mutex<StallDetector>>,
-        events: Arc<EventCounts>,
-        id: u64,
-    ) -> ClientConnection<R> {
+    pub fn new(runtime: R, context: Arc<ServerContext>, id: u64) -> ClientConnection<R> {
         let now = runtime.now();
         let inner = Inner {
             state: ConnectionState::New(now),
@@ -110,13 +119,14 @@
             request_id: None,
             in_flight: None,
             unwritten: None,
+            has_unflushed_bytes: false,
+            flush_waiter: None,
             pipelined_input: None,
             last_received_at: now,
         };
         ClientConnection {
             runtime,
-            stall_detector,
-            events,
+            context,
             id,
             written_bytes: AtomicU64::new(0),
             inner: Mutex::new(inner),
@@ -127,7 +137,12 @@
 
     /// Returns the counts of events of all connections.
     pub fn events(&self) -> &Arc<EventCounts> {
-        &self.events
+        &self.context.events
+    }
+
+    /// Returns the bound on the memory of all buffers.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.context.memory
     }
 
     /// Returns the number of the connection, unique in the process.
@@ -174,6 +189,10 @@
     pub fn on_buffer_written(&self) {
         let now = self.runtime.now();
         let mut inner = self.inner();
+        inner.has_unflushed_bytes = false;
+        if let Some(waiter) = inner.flush_waiter.take() {
+            waiter.wake();
+        }
         // The written buffer ends a response unless more of it is to come.
         if matches!(inner.state, ConnectionState::Responding(_)) || inner.unwritten.take().is_none() {
             return;
@@ -257,7 +276,7 @@
 
     /// Returns the earliest time at which bytes that are read now can have arrived.
     pub fn earliest_arrival(&self) -> Timestamp {
-        lock(&self.stall_detector).earliest_arrival(self.runtime.now(), self.runtime.caught_up_to())
+        lock(&self.context.stall_detector).earliest_arrival(self.runtime.now(), self.runtime.caught_up_to())
     }
 
     /// Returns the current time.
@@ -344,6 +363,21 @@
         inner.set_unwritten(now);
     }
 
+    /// Records that the HTTP library was given bytes of a streamed response.
+    pub fn on_response_bytes(&self) {
+        self.inner().has_unflushed_bytes = true;
+    }
+
+    /// Waits until the HTTP library has written all bytes of a streamed response that it was given.
+    pub fn poll_flushed(&self, cx: &mut Context) -> Poll<()> {
+        let mut inner = self.inner();
+        if !inner.has_unflushed_bytes {
+            return Poll::Ready(());
+        }
+        inner.flush_waiter = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
     /// Records that the HTTP library asked for more of a streamed response.
     pub fn on_response_polled(&self) {
         let now = self.runtime.now();
--- a/crates/balancer/src/http/framing.rs
+++ b/crates/balancer/src/http/framing.rs
@@ -34,6 +34,9 @@
     /// The request did not arrive in time.
     #[error("request: not received in time")]
     Timeout,
+    /// The buffers of all connections hold as much as they may, and the head has not arrived whole.
+    #[error("request: too many large ones at once; it did not run")]
+    OutOfMemory,
     /// The process ends, and the request has not arrived whole.
     #[error("request: not received before the server stopped; it did not run")]
     ShuttingDown,
@@ -46,7 +49,7 @@
             ClientError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             ClientError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ClientError::Timeout => StatusCode::REQUEST_TIMEOUT,
-            ClientError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+            ClientError::OutOfMemory | ClientError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             ClientError::MalformedHead
             | ClientError::TransferEncoding
             | ClientError::ContentLength
--- a/crates/balancer/src/http/handler.rs
+++ b/crates/balancer/src/http/handler.rs
@@ -11,6 +11,7 @@
 use crate::http::MAX_STREAMED_BYTES;
 use crate::http::connection::ClientConnection;
 use crate::http::dispatch::{ReceivedRequest, dispatch};
+use crate::http::head_memory::reserve_head;
 use crate::http::headers::prepare_for_upstream;
 use crate::http::request_body::read_request_body;
 use crate::http::request_fields::{CLASS_HEADER, ID_HEADER, RequestError, header_text, parse_request};
@@ -71,7 +72,7 @@
     if response.extensions().get::<IsStreaming>().is_none() {
         server.components.metrics.count_outcome(&class, response.status().into());
     }
-    server.connections.events.on_response(response.status());
+    server.connections.events().on_response(response.status());
     client.trace_response(response.status());
     announce_close(&server.lifecycle, &server.connections, &client, response)
 }
@@ -90,6 +91,7 @@
     if head.method == Method::CONNECT || !head.uri.path().starts_with('/') {
         return Err(RequestError::InvalidTarget);
     }
+    reserve_head(client.memory(), &mut head)?;
     let body = read_request_body(body, MAX_STREAMED_BYTES, client).await?;
     Ok(ReceivedRequest { request, head, body })
 }
--- a/crates/balancer/src/http/request_body.rs
+++ b/crates/balancer/src/http/request_body.rs
@@ -16,6 +16,7 @@
 use crate::http::body::BodyError;
 use crate::http::connection::{ClientConnection, ReceivePace};
 use crate::http::{MAX_BUFFERED_BYTES, STREAM_IDLE_TIMEOUT};
+use crate::memory::{MemoryReservation, SCARCE_READ_BYTES};
 use crate::runtime::{Runtime, duration};
 use crate::sync::lock;
 
@@ -110,21 +111,32 @@
     if size_hint.lower() > max_bytes {
         return Err(BodyError::TooLarge);
     }
+    let memory = client.memory();
+    let is_long = size_hint.lower() > MAX_BUFFERED_BYTES as u64;
+    let max_first_bytes = if is_long && memory.is_scarce() { SCARCE_READ_BYTES } else { MAX_BUFFERED_BYTES };
     let mut buffer = BytesMut::new();
-    while buffer.len() <= MAX_BUFFERED_BYTES {
+    let mut reservation = memory.reservation();
+    while buffer.len() <= max_first_bytes {
         if buffer.len() as u64 > max_bytes {
             return Err(BodyError::TooLarge);
         }
         match body.frame().await {
-            None => return Ok(RequestBody::Buffered(buffer.freeze())),
+            None => return Ok(RequestBody::Buffered(reservation.hold_with(buffer.freeze()))),
             Some(Err(_)) => return Err(BodyError::Incomplete),
-            Some(Ok(frame)) => buffer.extend(frame.into_data().ok()),
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                if !reservation.try_grow_for_buffer(buffer.len() + data.len()) {
+                    return Err(BodyError::OutOfMemory);
+                }
+                buffer.extend_from_slice(&data);
+            }
         }
     }
     // Nothing more is read until an attempt sends the body, so the read side would not show that the client
     // has closed the connection.
     client.unread_input.notify_one();
-    let body = StreamingBody::new(body, buffer.freeze(), size_hint.exact(), max_bytes, client.clone());
+    let first_bytes = reservation.hold_with(buffer.freeze());
+    let body = StreamingBody::new(body, first_bytes, size_hint.exact(), max_bytes, client.clone());
     Ok(RequestBody::Streaming(Arc::new(body)))
 }
 
@@ -143,7 +155,8 @@
 pub struct StreamingBody {
     announced_length: Option<u64>,
     max_bytes: u64,
-    first_bytes: Bytes,
+    /// Memory of the buffers of the two connections.
+    _reservation: MemoryReservation,
     /// Returns the pace at which the client sends the body.
     receive_pace: Box<dyn Fn() -> ReceivePace + Send + Sync>,
     state: Mutex<StreamingBodyState>,
@@ -151,6 +164,8 @@
 }
 
 struct StreamingBodyState {
+    /// The buffered first bytes, until an attempt has sent them.
+    first_bytes: Bytes,
     rest: Body,
     progress: SendProgress,
     /// Number of attempts so far; each attempt is identified by its number.
@@ -171,6 +186,7 @@
         client: Arc<ClientConnection<R>>,
     ) -> StreamingBody {
         let state = StreamingBodyState {
+            first_bytes,
             rest,
             progress: SendProgress::Unclaimed,
             attempts: 0,
@@ -182,7 +198,7 @@
         StreamingBody {
             announced_length,
             max_bytes,
-            first_bytes,
+            _reservation: client.memory().reserve_stream(),
             receive_pace: Box::new(move || client.receive_pace()),
             state: Mutex::new(state),
             changed: Notify::new(),
@@ -260,7 +276,7 @@
         }
         let data = if is_first {
             self.advance(&mut state, SendProgress::Claimed);
-            Some(self.first_bytes.clone())
+            Some(std::mem::take(&mut state.first_bytes))
         } else {
             ready!(poll_rest(&mut state.rest, cx))?
         };
--- a/crates/balancer/src/http/request_fields.rs
+++ b/crates/balancer/src/http/request_fields.rs
@@ -23,7 +23,8 @@
 const TICKS_PER_MS: i64 = 10;
 const MICROS_PER_SECOND: f64 = 1e6;
 
-/// States why a request is not submitted. These are errors of the client, which is not asked to retry. The text
+/// States why a request is not submitted. All but [`RequestError::OutOfMemory`] are errors of the client, which is
+/// not asked to retry. The text
 /// is the body of the response and names the field first.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub(crate) enum RequestError {
@@ -43,6 +44,8 @@
     BodyTooLarge,
     #[error("request body: incomplete")]
     BodyIncomplete,
+    #[error("request: too many large ones at once; it did not run")]
+    OutOfMemory,
     #[error("{ID_HEADER}: a request with this id is in flight")]
     DuplicateId,
 }
@@ -51,6 +54,7 @@
     fn status(&self) -> StatusCode {
         match self {
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             _ => StatusCode::BAD_REQUEST,
         }
@@ -62,6 +66,7 @@
         match error {
             BodyError::TooLarge => RequestError::BodyTooLarge,
             BodyError::Incomplete => RequestError::BodyIncomplete,
+            BodyError::OutOfMemory => RequestError::OutOfMemory,
         }
     }
 }
--- a/crates/balancer/src/http/request_head.rs
+++ b/crates/balancer/src/http/request_head.rs
@@ -11,7 +11,9 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::http::connection::ClientConnection;
-use crate::http::framing::{RequestLength, parse_request_length};
+use crate::http::framing::{ClientError, RequestLength, parse_request_length};
+use crate::memory::MemoryReservation;
+use crate::memory::SCARCE_READ_BYTES;
 use crate::runtime::{Runtime, Stream};
 
 /// Maximum length of a request head, in bytes.
@@ -31,6 +33,8 @@
     client: Arc<ClientConnection<R>>,
     /// Input that has not been passed on yet: an incomplete head, or bytes after a request.
     buffer: Vec<u8>,
+    /// Memory of the buffer beyond [`READ_BUFFER_BYTES`].
+    reservation: MemoryReservation,
     receive_times: VecDeque<ReceivedChunk>,
     /// Bytes of the current request that have not been passed on yet. The next head follows them.
     remaining: usize,
@@ -46,15 +50,22 @@
 impl<R: Runtime> HeadValidatingStream<R> {
     /// Wraps the stream of a connection that was accepted just now.
     pub fn new(stream: Arc<R::Stream>, client: Arc<ClientConnection<R>>) -> HeadValidatingStream<R> {
+        let reservation = client.memory().reservation();
         HeadValidatingStream {
             stream,
             client,
             buffer: Vec::new(),
+            reservation,
             receive_times: VecDeque::new(),
             remaining: 0,
         }
     }
 
+    /// Returns whether the memory allows one more read into the buffer, whose capacity doubles as it grows.
+    fn may_fill(&mut self) -> bool {
+        self.buffer.is_empty() || self.reservation.try_grow_to(2 * (self.buffer.len() + READ_BUFFER_BYTES))
+    }
+
     /// Reads more input into the buffer. Returns 0 at the end of the input.
     fn poll_fill(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
         let mut bytes = [0; READ_BUFFER_BYTES];
@@ -84,7 +95,8 @@
     /// further, because a head follows.
     fn poll_passthrough(&mut self, cx: &mut Context, into: &mut ReadBufCursor) -> Poll<io::Result<usize>> {
         let mut bytes = [0; PASSTHROUGH_BUFFER_BYTES];
-        let max_bytes = self.remaining.min(into.remaining()).min(bytes.len());
+        let max_read = if self.client.memory().is_scarce() { SCARCE_READ_BYTES } else { bytes.len() };
+        let max_bytes = self.remaining.min(into.remaining()).min(max_read);
         let read = ready!(self.stream.poll_recv(cx, &mut bytes[..max_bytes]))?;
         into.put_slice(&bytes[..read]);
         Poll::Ready(Ok(read))
@@ -98,6 +110,7 @@
         if self.buffer.is_empty() {
             // This frees the memory of idle connections, which most connections are most of the time.
             self.buffer = Vec::new();
+            self.reservation.release();
             self.receive_times = VecDeque::new();
         }
         copied
@@ -125,7 +138,7 @@
                 if !self.buffer.is_empty() {
                     self.client.on_pipelined_input(cx.waker());
                 }
-                if self.buffer.len() >= MAX_PIPELINED_BYTES {
+                if self.buffer.len() >= MAX_PIPELINED_BYTES || !self.may_fill() {
                     self.client.unread_input.notify_one();
                     return Poll::Pending;
                 }
@@ -139,6 +152,10 @@
             }
             match parse_request_length(&self.buffer) {
                 Ok(Some(length)) => self.expect_request(length),
+                Ok(None) if !self.may_fill() => {
+                    self.client.set_client_error(ClientError::OutOfMemory);
+                    return Poll::Ready(Ok(false));
+                }
                 Ok(None) => {
                     if ready!(self.poll_fill(cx))? == 0 {
                         return Poll::Ready(Ok(false));
--- a/crates/balancer/src/http/response_body.rs
+++ b/crates/balancer/src/http/response_body.rs
@@ -2,6 +2,7 @@
 //! buffered and the rest is streamed to the client. A truncated response is never passed on as if it were
 //! complete.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -19,6 +20,7 @@
 use crate::http::body::BodyError;
 use crate::http::connection::ClientConnection;
 use crate::http::{MAX_BUFFERED_BYTES, MAX_STREAMED_BYTES, STREAM_IDLE_TIMEOUT};
+use crate::memory::{MemoryBudget, MemoryReservation};
 use crate::metrics::{Metrics, RequestOutcome};
 use crate::runtime::{Runtime, duration};
 
@@ -33,15 +35,17 @@
     Buffered(Bytes),
     /// The first bytes are buffered, and the rest is forwarded as it arrives.
     Streaming {
-        /// The buffered first bytes.
-        first: Bytes,
+        /// The first bytes, which were read already, in order. No part is empty.
+        first: Vec<Bytes>,
         /// The part of the body that has not been read yet.
         rest: Incoming,
+        /// The memory of the buffers of the two connections.
+        reservation: MemoryReservation,
     },
 }
 
-/// Buffers a short body whole. A longer body, or one of unknown length that has not ended after
-/// `buffering_time`, is streamed.
+/// Buffers a short body whole. A longer body, one of unknown length that has not ended after `buffering_time`, or
+/// one for which `memory` has no room is streamed.
 ///
 /// # Errors
 ///
@@ -51,6 +55,7 @@
     runtime: &R,
     mut body: Incoming,
     buffering_time: Ticks,
+    memory: &MemoryBudget,
 ) -> Result<ResponseBody, BodyError> {
     let size_hint = body.size_hint();
     if size_hint.lower() > MAX_STREAMED_BYTES {
@@ -59,25 +64,39 @@
     let is_long = size_hint.lower() > MAX_BUFFERED_BYTES as u64;
     let has_unknown_length = size_hint.exact().is_none();
     let buffer_until = runtime.now() + buffering_time;
-    let mut buffer = BytesMut::new();
+    let mut reservation = memory.reservation();
+    let mut buffer = match size_hint.exact() {
+        // One allocation of the right size fragments the heap less than a buffer that grows.
+        Some(length) if !is_long && reservation.try_grow_for_buffer(length as usize) => {
+            BytesMut::with_capacity(length as usize)
+        }
+        _ => BytesMut::new(),
+    };
+    let mut unbuffered = Bytes::new();
     loop {
         let frame = if has_unknown_length && !buffer.is_empty() {
             match runtime.timeout(runtime.time_until(buffer_until), body.frame()).await {
                 Some(frame) => frame,
-                None => return Ok(ResponseBody::Streaming { first: buffer.freeze(), rest: body }),
+                None => break,
             }
         } else {
             body.frame().await
         };
-        match frame {
-            None => return Ok(ResponseBody::Buffered(buffer.freeze())),
+        let data = match frame {
+            None => return Ok(ResponseBody::Buffered(reservation.hold_with(buffer.freeze()))),
             Some(Err(_)) => return Err(BodyError::Incomplete),
-            Some(Ok(frame)) => buffer.extend(frame.into_data().ok()),
-        }
-        if is_long || buffer.len() > MAX_BUFFERED_BYTES {
-            return Ok(ResponseBody::Streaming { first: buffer.freeze(), rest: body });
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let length = buffer.len() + data.len();
+        if is_long || length > MAX_BUFFERED_BYTES || !reservation.try_grow_for_buffer(length) {
+            unbuffered = data;
+            break;
         }
+        buffer.extend_from_slice(&data);
     }
+    let buffered = reservation.hold_with(buffer.freeze());
+    let first = [buffered, unbuffered].into_iter().filter(|part| !part.is_empty()).collect();
+    Ok(ResponseBody::Streaming { first, rest: body, reservation: memory.reserve_stream() })
 }
 
 /// Converts an endpoint's response to the response for the client. A streamed response counts its own
@@ -92,9 +111,9 @@
     let (head, body) = response.into_parts();
     match body {
         ResponseBody::Buffered(body) => Response::from_parts(head, Body::from(body)),
-        ResponseBody::Streaming { first, rest } => {
+        ResponseBody::Streaming { first, rest, reservation } => {
             let request = CountedRequest { metrics: metrics.clone(), class: class.to_string() };
-            let body = ForwardedBody::new(runtime.clone(), client.clone(), first, rest, request);
+            let body = ForwardedBody::new(runtime.clone(), client.clone(), first, rest, reservation, request);
             let mut response = Response::from_parts(head, Body::new(body));
             response.extensions_mut().insert(IsStreaming);
             response
@@ -111,8 +130,10 @@
 struct ForwardedBody<R: Runtime> {
     runtime: R,
     client: Arc<ClientConnection<R>>,
-    first_bytes: Option<Bytes>,
+    /// Bytes that were read before the body was streamed, in order.
+    first_bytes: VecDeque<Bytes>,
     rest: Incoming,
+    _reservation: MemoryReservation,
     forwarded_bytes: u64,
     last_received_at: Timestamp,
     idle_timer: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
@@ -124,8 +145,9 @@
     fn new(
         runtime: R,
         client: Arc<ClientConnection<R>>,
-        first_bytes: Bytes,
+        first_bytes: Vec<Bytes>,
         rest: Incoming,
+        reservation: MemoryReservation,
         request: CountedRequest,
     ) -> ForwardedBody<R> {
         client.on_response_started();
@@ -134,8 +156,9 @@
         ForwardedBody {
             runtime,
             client,
-            first_bytes: Some(first_bytes),
+            first_bytes: first_bytes.into(),
             rest,
+            _reservation: reservation,
             forwarded_bytes: 0,
             last_received_at,
             idle_timer,
@@ -179,7 +202,7 @@
     }
 
     fn poll_data(&mut self, cx: &mut Context) -> Poll<Result<Option<Bytes>, BoxError>> {
-        let data = match self.first_bytes.take().filter(|first| !first.is_empty()) {
+        let data = match self.first_bytes.pop_front() {
             Some(first) => first,
             None => match ready!(self.poll_rest(cx))? {
                 Some(data) => data,
@@ -203,10 +226,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.client.memory().is_scarce() {
+            ready!(self.client.poll_flushed(cx));
+        }
         self.client.on_response_polled();
         let data = ready!(self.poll_data(cx));
         match &data {
-            Ok(Some(_)) => {}
+            Ok(Some(_)) => self.client.on_response_bytes(),
             Ok(None) => self.count_outcome(RequestOutcome::Succeeded),
             Err(_) => self.count_outcome(RequestOutcome::Failed),
         }
@@ -214,7 +240,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first = self.first_bytes.as_ref().map_or(0, |first| first.len() as u64);
+        let first: u64 = self.first_bytes.iter().map(|bytes| bytes.len() as u64).sum();
         self.rest.size_hint().exact().map_or(SizeHint::new(), |rest| SizeHint::with_exact(first + rest))
     }
 }
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -192,10 +192,10 @@
 
 /// Reads and discards input until the client closes the connection or `max_bytes` have been read.
 async fn discard_input<S: Stream>(stream: &S, max_bytes: usize) {
-    let mut buffer = [0; DISCARD_BUFFER_BYTES];
     let mut discarded = 0;
     while discarded < max_bytes {
-        match poll_fn(|cx| stream.poll_recv(cx, &mut buffer)).await {
+        // The buffer is not held while the task waits.
+        match poll_fn(|cx| stream.poll_recv(cx, &mut [0; DISCARD_BUFFER_BYTES])).await {
             Ok(0) | Err(_) => return,
             Ok(read) => discarded += read,
         }
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -89,7 +89,8 @@
         components: Components<R>,
         grace_period: Ticks,
     ) -> Arc<Server<R>> {
-        let connections = ClientConnections::new(runtime.clone(), components.max_sockets);
+        let memory = components.memory.clone();
+        let connections = ClientConnections::new(runtime.clone(), components.max_sockets, memory);
         Arc::new(Server {
             runtime,
             config,
@@ -113,6 +114,7 @@
         let max_sockets = self.components.max_sockets;
         let lent = if status.has_siblings { max_sockets / 2 } else { 0 };
         self.connections.set_max_sockets(max_sockets - lent);
+        self.connections.memory().set_shared(status.has_siblings);
         self.components.upstream_client.lend_sockets(upstream::max_upstream_sockets(lent));
     }
 
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod file_names;
 pub mod handover;
 pub mod http;
+pub mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod permits;
--- a/crates/balancer/src/upstream.rs
+++ b/crates/balancer/src/upstream.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Semaphore;
 
 use crate::log_line;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::runtime::Runtime;
 use crate::sync::lock;
@@ -69,6 +70,7 @@
     metrics: Arc<Metrics>,
     opened_connections: Arc<AtomicU64>,
     repeat_counts: RepeatCounts,
+    memory: MemoryBudget,
     endpoints: Mutex<BTreeMap<EndpointId, EndpointConnections<R>>>,
 }
 
@@ -123,6 +125,7 @@
         timeouts: UpstreamTimeouts,
         max_sockets: usize,
         metrics: Arc<Metrics>,
+        memory: MemoryBudget,
         is_success: fn(StatusCode) -> bool,
     ) -> UpstreamClient<R> {
         UpstreamClient {
@@ -134,6 +137,7 @@
             metrics,
             opened_connections: Arc::default(),
             repeat_counts: RepeatCounts::default(),
+            memory,
             endpoints: Mutex::default(),
         }
     }
@@ -151,6 +155,7 @@
             socket_permits: self.socket_permits.clone(),
             metrics: self.metrics.clone(),
             opened_connections: self.opened_connections.clone(),
+            memory: self.memory.clone(),
             response_times,
         })
     }
--- a/crates/balancer/src/upstream/connection.rs
+++ b/crates/balancer/src/upstream/connection.rs
@@ -13,8 +13,8 @@
 use thiserror::Error;
 use tokio::sync::Semaphore;
 
-use crate::http::MAX_BUFFERED_BYTES;
 use crate::http::request_body::AttemptBody;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::runtime::{Runtime, duration};
 use crate::upstream::reservation::ReservationState;
@@ -34,6 +34,8 @@
     pub metrics: Arc<Metrics>,
     /// Number of connections that were opened to all endpoints.
     pub opened_connections: Arc<AtomicU64>,
+    /// Bounds the memory of all buffers.
+    pub memory: MemoryBudget,
     /// Times of the endpoint.
     pub response_times: Arc<ResponseTimes>,
 }
@@ -45,7 +47,8 @@
         let stream = self.runtime.connect(self.address).await?;
         self.response_times.on_connected(self.runtime.now() - started_at);
         let connection_id = self.opened_connections.fetch_add(1, Ordering::Relaxed);
-        Ok(UpstreamStream::new(self.runtime.clone(), stream, permit, self.metrics.clone(), connection_id))
+        let shared = (self.metrics.clone(), self.memory.clone());
+        Ok(UpstreamStream::new(self.runtime.clone(), stream, permit, shared, connection_id))
     }
 
     pub(super) async fn connect(&self) -> io::Result<UpstreamConnection> {
@@ -54,7 +57,7 @@
         let exchange_state = stream.exchange_state();
         let (sender, connection) = http1::Builder::new()
             .preserve_header_case(true)
-            .max_buf_size(MAX_BUFFERED_BYTES)
+            .max_buf_size(self.memory.max_read_buffer())
             .handshake(stream)
             .await
             .map_err(io::Error::other)?;
--- a/crates/balancer/src/upstream/exchange.rs
+++ b/crates/balancer/src/upstream/exchange.rs
@@ -84,7 +84,9 @@
         let head = HeadDigest::of(&response);
         target.pool.release(connection);
         let buffering_time = self.timeouts.response_buffering;
-        let result = response::read_response(&self.runtime, response, self.is_success, buffering_time).await;
+        let (is_success, memory) = (self.is_success, &self.memory);
+        let result =
+            response::read_response(&self.runtime, response, is_success, buffering_time, memory).await;
         let AttemptResult::Succeeded(response) = result else { return Received::Result(result) };
         let digest = head.with_body(response.body());
         let recent = &exchange_state.recent_responses;
--- a/crates/balancer/src/upstream/response.rs
+++ b/crates/balancer/src/upstream/response.rs
@@ -10,6 +10,7 @@
 use crate::http::body::{BodyError, collect_body};
 use crate::http::headers::remove_hop_by_hop_headers;
 use crate::http::response_body;
+use crate::memory::MemoryBudget;
 use crate::runtime::Runtime;
 use crate::upstream::attempt_result::AttemptResult;
 
@@ -27,10 +28,11 @@
     response: Response<Incoming>,
     is_success: fn(StatusCode) -> bool,
     buffering_time: Ticks,
+    memory: &MemoryBudget,
 ) -> AttemptResult {
     let status = response.status();
     if is_success(status) {
-        return buffer_response(runtime, response, buffering_time).await;
+        return buffer_response(runtime, response, buffering_time, memory).await;
     }
     let is_declined = response.headers().get(DECLINED_HEADER).is_some_and(|value| value == "1");
     drain(runtime, response.into_body());
@@ -53,9 +55,10 @@
     runtime: &R,
     response: Response<Incoming>,
     buffering_time: Ticks,
+    memory: &MemoryBudget,
 ) -> AttemptResult {
     let (mut head, body) = response.into_parts();
-    match response_body::buffer_response(runtime, body, buffering_time).await {
+    match response_body::buffer_response(runtime, body, buffering_time, memory).await {
         Ok(body) => {
             remove_hop_by_hop_headers(&mut head.headers);
             // The length is derived from the body again, since the field may have any value if the body is
@@ -65,6 +68,6 @@
             AttemptResult::Succeeded(Response::from_parts(head, body))
         }
         Err(BodyError::TooLarge) => AttemptResult::ResponseTooLarge,
-        Err(BodyError::Incomplete) => AttemptResult::ConnectionReset,
+        Err(BodyError::Incomplete | BodyError::OutOfMemory) => AttemptResult::ConnectionReset,
     }
 }
--- a/crates/balancer/src/upstream/response_check.rs
+++ b/crates/balancer/src/upstream/response_check.rs
@@ -75,7 +75,8 @@
                 bytes[..bytes.len().min(BUFFERED_PREFIX_BYTES)].hash(&mut hasher);
             }
             ResponseBody::Streaming { first, .. } => {
-                first[..first.len().min(STREAMED_PREFIX_BYTES)].hash(&mut hasher);
+                let prefix = first.first().map_or(&[][..], |part| part);
+                prefix[..prefix.len().min(STREAMED_PREFIX_BYTES)].hash(&mut hasher);
             }
         }
         ResponseDigest { head: self, body: hasher.finish() }
--- a/crates/balancer/src/upstream/stream.rs
+++ b/crates/balancer/src/upstream/stream.rs
@@ -11,6 +11,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
+use crate::memory::{MemoryBudget, SCARCE_READ_BYTES};
 use crate::metrics::Metrics;
 use crate::runtime::{Runtime, Stream};
 use crate::sync::lock;
@@ -137,6 +138,7 @@
     /// Whether an attempt has been started and not been counted as sent.
     is_send_uncounted: bool,
     metrics: Arc<Metrics>,
+    memory: MemoryBudget,
     _socket_permit: OwnedSemaphorePermit,
 }
 
@@ -145,7 +147,7 @@
         runtime: R,
         stream: R::Stream,
         socket_permit: OwnedSemaphorePermit,
-        metrics: Arc<Metrics>,
+        (metrics, memory): (Arc<Metrics>, MemoryBudget),
         connection_id: u64,
     ) -> UpstreamStream<R> {
         UpstreamStream {
@@ -154,6 +156,7 @@
             exchange_state: Arc::new(ExchangeState { connection_id, ..ExchangeState::default() }),
             is_send_uncounted: false,
             metrics,
+            memory,
             _socket_permit: socket_permit,
         }
     }
@@ -184,6 +187,15 @@
         Ok(())
     }
 
+    /// Reads less than the HTTP library has room for, so that its buffer does not grow.
+    fn poll_read_little(&self, cx: &mut Context, mut into: ReadBufCursor) -> Poll<io::Result<()>> {
+        let mut bytes = [0; SCARCE_READ_BYTES];
+        let max_bytes = into.remaining().min(bytes.len());
+        let read = ready!(self.stream.poll_recv(cx, &mut bytes[..max_bytes]))?;
+        into.put_slice(&bytes[..read]);
+        Poll::Ready(Ok(()))
+    }
+
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match written {
             Poll::Ready(Ok(bytes)) => {
@@ -203,7 +215,11 @@
 
 impl<R: Runtime> Read for UpstreamStream<R> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: ReadBufCursor) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, into);
+        let read = if self.memory.is_scarce() {
+            self.poll_read_little(cx, into)
+        } else {
+            Pin::new(&mut self.stream).poll_read(cx, into)
+        };
         if read.is_ready() {
             self.exchange_state.reads.fetch_add(1, Ordering::Relaxed);
             self.exchange_state.set_last_read_at(Some(self.runtime.now()));
--- a/crates/balancer/src/upstream/stream/tests.rs
+++ b/crates/balancer/src/upstream/stream/tests.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Semaphore;
 
 use super::*;
+use crate::memory::DEFAULT_LIMIT_MB;
 use crate::metrics::Gauges;
 use crate::runtime::system::SystemRuntime;
 
@@ -31,7 +32,8 @@
         let peer = Some(listener.accept().unwrap().0);
         let permit = Arc::new(Semaphore::new(1)).acquire_owned().await.unwrap();
         let metrics = Arc::new(Metrics::new(std::iter::empty()));
-        let stream = UpstreamStream::new(runtime, stream, permit, metrics.clone(), 0);
+        let memory = MemoryBudget::new(DEFAULT_LIMIT_MB, 1024);
+        let stream = UpstreamStream::new(runtime, stream, permit, (metrics.clone(), memory), 0);
         TestConnection { stream, peer, metrics }
     }
 
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -12,6 +12,7 @@
 use doorproxy_balancer::http::body::BodyError;
 use doorproxy_balancer::http::connection::ClientConnection;
 use doorproxy_balancer::http::dispatch::{ReceivedRequest, dispatch};
+use doorproxy_balancer::http::head_memory::reserve_head;
 use doorproxy_balancer::http::headers::prepare_for_upstream;
 use doorproxy_balancer::http::request_body::read_request_body;
 use doorproxy_balancer::http::responses::{announce_close, rejected_response};
@@ -49,6 +50,7 @@
             RequestError::NoRoute => StatusCode::NOT_FOUND,
             RequestError::Body(BodyError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Body(BodyError::Incomplete) => StatusCode::BAD_REQUEST,
+            RequestError::Body(BodyError::OutOfMemory) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -77,6 +79,7 @@
     // A request keeps its configuration until it ends, even if a reload replaces it.
     let state = sidecar.state();
     let route_match = classify(&state.config, &head, &sidecar.via)?;
+    reserve_head(client.memory(), &mut head)?;
     let body = read_request_body(body, state.config.limits.max_body_bytes, client).await?;
     // Called after the classification, which reads the header fields as the application sent them.
     prepare_for_upstream::<Arc<ClientConnection<R>>>(&mut head);
--- a/crates/sidecar/src/pools.rs
+++ b/crates/sidecar/src/pools.rs
@@ -10,6 +10,7 @@
 use doorproxy_balancer::assembly::RESPONSE_BUFFERING_RATIO;
 use doorproxy_balancer::discovery::endpoint_ids::EndpointIds;
 use doorproxy_balancer::http::dispatch::UpstreamService;
+use doorproxy_balancer::memory::MemoryBudget;
 use doorproxy_balancer::metrics::Metrics;
 use doorproxy_balancer::runtime::Runtime;
 use doorproxy_balancer::runtime::dispatcher_driver::drive;
@@ -73,6 +74,7 @@
     runtime: &R,
     config: SidecarConfig,
     seed: u64,
+    memory: &MemoryBudget,
     previous: Option<&ServingState<R>>,
 ) -> Result<ServingState<R>, SidecarError> {
     let previous = previous.filter(|previous| previous.has_equal_settings(&config));
@@ -88,7 +90,7 @@
             return Err(SidecarError::UnsupportedDiscovery { pool: pool.name.clone() });
         };
         let seed = seed.wrapping_add(index as u64);
-        pools.push(Arc::new(start_pool(runtime, &config, endpoints, seed)));
+        pools.push(Arc::new(start_pool(runtime, &config, endpoints, seed, memory.clone())));
     }
     Ok(ServingState { config, pools })
 }
@@ -114,6 +116,7 @@
     config: &SidecarConfig,
     endpoints: &[StaticEndpoint],
     seed: u64,
+    memory: MemoryBudget,
 ) -> UpstreamPool<R> {
     let max_sockets = max_upstream_sockets(config.limits.max_sockets) / config.pools.len().max(1);
     let metrics = Arc::new(Metrics::new(std::iter::empty()));
@@ -122,6 +125,7 @@
         timeouts(config),
         max_sockets,
         metrics.clone(),
+        memory,
         is_success,
     ));
     let effects = Box::new(UpstreamEffects(upstream_client.clone()));
--- a/crates/sidecar/src/server.rs
+++ b/crates/sidecar/src/server.rs
@@ -13,6 +13,7 @@
 use doorproxy_balancer::http::shutdown_times::ShutdownTimes;
 use doorproxy_balancer::http::{LISTEN_BACKLOG, SEND_BUFFER_BYTES};
 use doorproxy_balancer::log_line;
+use doorproxy_balancer::memory::{DEFAULT_LIMIT_MB, MemoryBudget};
 use doorproxy_balancer::runtime::{Listener, Runtime};
 use doorproxy_balancer::state_line;
 use doorproxy_balancer::sync::lock;
@@ -52,7 +53,8 @@
             return Err(SidecarError::RestartOnly);
         }
         let shutdown_times = shutdown_times(&config);
-        let state = start_pools(&self.runtime, config, self.seed, Some(&previous))?;
+        let state =
+            start_pools(&self.runtime, config, self.seed, self.connections.memory(), Some(&previous))?;
         self.lifecycle.set_shutdown_times(shutdown_times);
         *lock(&self.state) = Arc::new(state);
         Ok(())
@@ -108,8 +110,9 @@
 fn new_sidecar<R: Runtime>(runtime: R, config: SidecarConfig, seed: u64) -> Result<Sidecar<R>, SidecarError> {
     let lifecycle = Lifecycle::new(shutdown_times(&config));
     let via = format!("doorproxy-{}", config.name.replace(|c: char| !c.is_ascii_alphanumeric(), "-"));
-    let connections = ClientConnections::new(runtime.clone(), config.limits.max_sockets);
-    let state = start_pools(&runtime, config, seed, None)?;
+    let memory = MemoryBudget::new(DEFAULT_LIMIT_MB, config.limits.max_sockets);
+    let connections = ClientConnections::new(runtime.clone(), config.limits.max_sockets, memory.clone());
+    let state = start_pools(&runtime, config, seed, &memory, None)?;
     Ok(Sidecar { runtime, seed, state: Mutex::new(Arc::new(state)), via, connections, lifecycle })
 }
 
