Bound the unread input of a client, from which its request's time is estimated

Callers got the final answer to a large request up to 6.7 s after its time where an endpoint read slowly (trial: 30 MB, an endpoint that reads 400 kB/s).

Cause: the time of a request runs from when its client has written the last byte, which the process estimates from how much can be in transit: 4 MiB. The system let the receive buffer grow, and held 4.8 to 5.0 MB unread (unread_input.rs, which failed before); with 20 MB at 2 MB/s answers came up to 1.2 s late.

Change: the receive buffer of each client connection has a fixed size, and the estimate is the sum of both kernels' buffers.

--- a/crates/balancer/src/http/request_body.rs
+++ b/crates/balancer/src/http/request_body.rs
@@ -17,11 +17,13 @@
 use crate::http::connection::{ClientConnection, ReceivePace};
 use crate::http::{MAX_BUFFERED_BYTES, STREAM_IDLE_TIMEOUT};
 use crate::memory::{MemoryReservation, SCARCE_READ_BYTES};
+use crate::runtime::system::RECEIVE_BUFFER_BYTES;
 use crate::runtime::{Runtime, duration};
 use crate::sync::lock;
 
-/// Upper bound on the bytes that kernel buffers hold for one connection.
-pub const MAX_IN_TRANSIT_BYTES: u64 = 4 << 20;
+/// Upper bound on the bytes that a client has sent and the process has not read: those in the client's kernel, at most
+/// 4 MiB by the default of the system, and those in the receive buffer.
+pub const MAX_IN_TRANSIT_BYTES: u64 = (4 << 20) + 2 * RECEIVE_BUFFER_BYTES as u64;
 /// Interval at which a request is checked for its client's timeout while an attempt sends the body.
 const CLIENT_CHECK_INTERVAL: Ticks = Ticks(500);
 /// A streamed body is checked for a stall this many times per [`STREAM_IDLE_TIMEOUT`].
--- a/crates/balancer/src/runtime/system.rs
+++ b/crates/balancer/src/runtime/system.rs
@@ -41,6 +41,9 @@
 const TRACE_CONNECTIONS: &str = "connections";
 const TRACE_REQUESTS: &str = "requests";
 
+/// Size of the kernel receive buffer of a client connection, in bytes. The system doubles it for its own use.
+pub const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
 /// Tracks up to which time the event loop has handled all input. A connection that is accepted in one turn of
 /// the loop is read in the next, so a poll counts as handled after two turns.
 #[derive(Default)]
@@ -155,6 +158,12 @@
     }
 }
 
+/// Bounds the input that the system holds unread, which it otherwise lets grow to many megabytes. A connection on which
+/// the bound can't be set works as well.
+fn bound_receive_buffer(socket: SockRef) {
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+}
+
 /// Accepts TCP connections.
 pub struct SystemListener(TcpListener);
 
@@ -170,6 +179,7 @@
     async fn accept(&self) -> io::Result<SystemStream> {
         let (stream, _) = self.0.accept().await?;
         let _ = stream.set_nodelay(true);
+        bound_receive_buffer(SockRef::from(&stream));
         Ok(SystemStream(TokioIo::new(stream)))
     }
 
@@ -177,6 +187,7 @@
         let (stream, _) = SockRef::from(&self.0).accept().ok()?;
         stream.set_nonblocking(true).ok()?;
         let _ = stream.set_tcp_nodelay(true);
+        bound_receive_buffer(SockRef::from(&stream));
         Some(SystemStream(TokioIo::new(TcpStream::from_std(stream.into()).ok()?)))
     }
 
