Withhold the last bytes of an upload whose client has closed the connection

Cause: only the beginning of a long body is read before an attempt, so the close lies behind unread bytes. The process read it after it had passed on the last byte, when the endpoint had begun.

Change: before the last bytes of a streamed body are passed on, the system is asked whether the connection has ended behind them. If so the attempt breaks off; an endpoint begins a request with its last byte, so it never ran.

--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -2,8 +2,9 @@
 //! evict it share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use axum::http::{HeaderValue, StatusCode};
 use doorproxy::ids::Timestamp;
@@ -22,6 +23,8 @@
 
 const TICKS_PER_MS: i64 = 10;
 
+type EndCheck = Box<dyn Fn() -> bool + Send + Sync>;
+
 /// Holds what all client connections of a process share.
 pub struct ServerContext {
     /// Dates input that arrived while the process did not run.
@@ -40,6 +43,8 @@
     id: u64,
     written_bytes: AtomicU64,
     inner: Mutex<Inner>,
+    /// Returns whether the client has closed the connection, behind all that was read of it.
+    end_check: OnceLock<EndCheck>,
     /// Notified when the connection should close. Stores one permit.
     pub close_requested: Notify,
     /// Notified when bytes after the request in flight are left unread: a close by the client would come
@@ -130,6 +135,7 @@
             id,
             written_bytes: AtomicU64::new(0),
             inner: Mutex::new(inner),
+            end_check: OnceLock::new(),
             close_requested: Notify::new(),
             unread_input: Notify::new(),
         }
@@ -145,6 +151,16 @@
         &self.context.memory
     }
 
+    /// Sets how to find out whether the client has closed the connection. Only the first call has an effect.
+    pub fn set_end_check(&self, check: impl Fn() -> bool + Send + Sync + 'static) {
+        let _ = self.end_check.set(Box::new(check));
+    }
+
+    /// Returns whether the client has closed the connection, behind all that was read of it. Asks the operating system.
+    pub fn has_ended(&self) -> bool {
+        self.end_check.get().is_some_and(|has_ended| has_ended())
+    }
+
     /// Returns the number of the connection, unique in the process.
     pub fn id(&self) -> u64 {
         self.id
@@ -279,6 +295,11 @@
         lock(&self.context.stall_detector).earliest_arrival(self.runtime.now(), self.runtime.caught_up_to())
     }
 
+    /// Waits for this time.
+    pub fn sleep(&self, time: Duration) -> impl Future<Output = ()> + Send + Sync + 'static {
+        self.runtime.sleep(time)
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Timestamp {
         self.runtime.now()
--- a/crates/balancer/src/http/request_body.rs
+++ b/crates/balancer/src/http/request_body.rs
@@ -161,6 +161,8 @@
     _reservation: MemoryReservation,
     /// Returns the pace at which the client sends the body.
     receive_pace: Box<dyn Fn() -> ReceivePace + Send + Sync>,
+    /// Returns whether the client has closed its connection.
+    has_client_left: Box<dyn Fn() -> bool + Send + Sync>,
     state: Mutex<StreamingBodyState>,
     changed: Notify,
 }
@@ -197,11 +199,13 @@
             last_progress_at: client.now(),
             mostly_sent_since: None,
         };
+        let pace_client = client.clone();
         StreamingBody {
             announced_length,
             max_bytes,
             _reservation: client.memory().reserve_stream(),
-            receive_pace: Box::new(move || client.receive_pace()),
+            receive_pace: Box::new(move || pace_client.receive_pace()),
+            has_client_left: Box::new(move || client.has_ended()),
             state: Mutex::new(state),
             changed: Notify::new(),
         }
@@ -287,18 +291,24 @@
         if state.sent_bytes > self.max_bytes {
             return Poll::Ready(Err("the body is too large".into()));
         }
-        self.record_sent(&mut state, now, data.is_none());
+        let is_last = data.is_none() || Some(state.sent_bytes) == self.announced_length;
+        // The close of a client comes right behind its request. The endpoint can't have begun a request whose last bytes
+        // are withheld.
+        if is_last && (self.has_client_left)() {
+            return Poll::Ready(Err("the client has closed the connection".into()));
+        }
+        self.record_sent(&mut state, now, is_last);
         Poll::Ready(Ok(data))
     }
 
-    fn record_sent(&self, state: &mut StreamingBodyState, now: Timestamp, is_end: bool) {
+    fn record_sent(&self, state: &mut StreamingBodyState, now: Timestamp, is_last: bool) {
         let in_transit_limit = state.sent_bytes + MAX_IN_TRANSIT_BYTES;
         if self.announced_length.is_none_or(|length| length <= in_transit_limit) {
             state.mostly_sent_since.get_or_insert(now);
         }
         // The progress is updated before the last bytes are passed on, since the endpoint may process the
         // request from then on.
-        if is_end || Some(state.sent_bytes) == self.announced_length {
+        if is_last {
             let received_at = self.last_byte_received_at(state);
             self.advance(state, SendProgress::Complete(received_at));
         }
--- a/crates/balancer/src/http/serve_connection.rs
+++ b/crates/balancer/src/http/serve_connection.rs
@@ -44,6 +44,9 @@
     client: &Arc<ClientConnection<R>>,
 ) -> CloseReason {
     let stream = Arc::new(stream);
+    // The connection's socket closes when it is served, however long its state is held.
+    let weak_stream = Arc::downgrade(&stream);
+    client.set_end_check(move || weak_stream.upgrade().is_none_or(|stream| stream.has_ended()));
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         client.on_request_id(request.headers().get(ID_HEADER));
         request.extensions_mut().insert(client.clone());
--- a/crates/balancer/src/runtime.rs
+++ b/crates/balancer/src/runtime.rs
@@ -166,6 +166,12 @@
     /// Returns whether the other side has shut down its writing or the connection is broken, even if bytes
     /// are still unread.
     fn is_read_closed(&self) -> bool;
+
+    /// Returns whether the connection is known to have ended, with nothing before the end that was read. May make a
+    /// system call.
+    fn has_ended(&self) -> bool {
+        !self.is_idle() && self.is_read_closed()
+    }
 }
 
 /// Accepts connections on an address.
--- a/crates/balancer/src/runtime/system.rs
+++ b/crates/balancer/src/runtime/system.rs
@@ -229,6 +229,14 @@
         waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    fn has_ended(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(self.0.inner()).peek(&mut byte) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     fn is_read_closed(&self) -> bool {
         // Polled once without waiting. Unread bytes keep the connection ready, so readiness alone says
         // nothing.
