Look for a hidden close before the next pipelined request begins

Cause: more input than is read ahead hides the close. The client's system resets the connection when it gets a response, but the next request began in the same moment in which that response was written.

Change: where input was left unread and the request before took more than 50 ms, the next one begins 20 ms after the response, and not if the connection was closed by then. Shorter requests begin at once: a close is then at most 50 ms old.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -10,6 +10,7 @@
 mod handler;
 pub mod head_memory;
 pub mod headers;
+mod hidden_close;
 pub mod lifecycle;
 pub mod open_requests;
 pub mod process_phase;
--- a/crates/balancer/src/http/request_head.rs
+++ b/crates/balancer/src/http/request_head.rs
@@ -12,6 +12,7 @@
 
 use crate::http::connection::ClientConnection;
 use crate::http::framing::{ClientError, RequestLength, parse_request_length};
+use crate::http::hidden_close::HiddenCloseCheck;
 use crate::memory::MemoryReservation;
 use crate::memory::SCARCE_READ_BYTES;
 use crate::runtime::{Runtime, Stream};
@@ -35,6 +36,8 @@
     buffer: Vec<u8>,
     /// Memory of the buffer beyond [`READ_BUFFER_BYTES`].
     reservation: MemoryReservation,
+    /// Checks for a close that unread input hides, before the next request begins.
+    hidden_close: HiddenCloseCheck,
     receive_times: VecDeque<ReceivedChunk>,
     /// Bytes of the current request that have not been passed on yet. The next head follows them.
     remaining: usize,
@@ -56,6 +59,7 @@
             client,
             buffer: Vec::new(),
             reservation,
+            hidden_close: HiddenCloseCheck::default(),
             receive_times: VecDeque::new(),
             remaining: 0,
         }
@@ -140,6 +144,7 @@
                 }
                 if self.buffer.len() >= MAX_PIPELINED_BYTES || !self.may_fill() {
                     self.client.unread_input.notify_one();
+                    self.hidden_close.on_unread_input();
                     return Poll::Pending;
                 }
                 if ready!(self.poll_fill(cx))? == 0 {
@@ -151,7 +156,12 @@
                 self.client.on_first_byte();
             }
             match parse_request_length(&self.buffer) {
-                Ok(Some(length)) => self.expect_request(length),
+                Ok(Some(length)) => {
+                    if ready!(self.hidden_close.poll_is_closed(cx, &*self.client, &*self.stream)) {
+                        return Poll::Ready(Ok(false));
+                    }
+                    self.expect_request(length);
+                }
                 Ok(None) if !self.may_fill() => {
                     self.client.set_client_error(ClientError::OutOfMemory);
                     return Poll::Ready(Ok(false));
