Drop the connections to an endpoint's process that another one has replaced

Cause: a pool was replaced only when the address of an endpoint changed, not when its list entry named another start.

Change: connections belong to an address and a start.

--- a/crates/balancer/src/upstream.rs
+++ b/crates/balancer/src/upstream.rs
@@ -76,6 +76,8 @@
 
 struct EndpointConnections<R: Runtime> {
     address: SocketAddr,
+    /// Start of the process that the connections lead to, if it is known.
+    started_at: Option<Timestamp>,
     pool: Arc<ConnectionPool<R>>,
     /// Whether attempts may be sent. An attempt that was decided on before this became false is not sent.
     accepts_attempts: Arc<AtomicBool>,
@@ -84,6 +86,12 @@
 }
 
 impl<R: Runtime> EndpointConnections<R> {
+    /// Returns whether the connections lead to the process at this address that has started at this time. A process
+    /// that was replaced has ended, also if nothing has come from its machine to say so.
+    fn leads_to(&self, address: SocketAddr, started_at: Option<Timestamp>) -> bool {
+        self.address == address && (started_at.is_none() || self.started_at == started_at)
+    }
+
     fn set_status(&self, status: EndpointStatus) {
         self.accepts_attempts.store(status == EndpointStatus::Ready, Ordering::Relaxed);
     }
@@ -193,17 +201,18 @@
             let known = endpoints.get(&update.endpoint);
             if update.status == EndpointStatus::Removed {
                 endpoints.remove(&update.endpoint);
-            } else if known.is_none_or(|known| known.address != address) {
-                endpoints.insert(update.endpoint, self.new_endpoint(address));
+            } else if known.is_none_or(|known| !known.leads_to(address, update.started_at)) {
+                endpoints.insert(update.endpoint, self.new_endpoint(address, update.started_at));
             }
         }
         set_statuses(&endpoints, updates);
     }
 
-    fn new_endpoint(&self, address: SocketAddr) -> EndpointConnections<R> {
+    fn new_endpoint(&self, address: SocketAddr, started_at: Option<Timestamp>) -> EndpointConnections<R> {
         let response_times = Arc::<ResponseTimes>::default();
         EndpointConnections {
             address,
+            started_at,
             pool: self.new_pool(address, response_times.clone()),
             accepts_attempts: Arc::default(),
             last_response_at: None,
