Refuse the id of a request that may have run, also after its client has left

Cause: an id was reserved only while its request was open. A client that leaves ends its request, and the endpoint may have run it.

A request that was rejected, so that it never ran, may come again under its id.

--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -17,6 +17,7 @@
 pub mod request_body;
 pub(crate) mod request_fields;
 pub mod request_head;
+mod request_ids;
 pub mod response_body;
 pub mod responses;
 mod serve_connection;
--- a/crates/balancer/src/http/dispatch.rs
+++ b/crates/balancer/src/http/dispatch.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use axum::http::request::Parts;
 use axum::response::Response;
@@ -44,17 +45,19 @@
     pub head: Parts,
     /// The body, or its first bytes with the rest still to be read.
     pub body: RequestBody,
+    /// Is set once an attempt has begun.
+    pub has_begun: Arc<AtomicBool>,
 }
 
 impl ReceivedRequest {
     /// Splits the request into the part for the dispatcher, whose timeout becomes the time left until the
     /// deadline, and the part that the attempts send.
     fn split(self, received_at: Timestamp, now: Timestamp) -> (NewRequest, OutgoingRequest) {
-        let ReceivedRequest { mut request, head, body } = self;
+        let ReceivedRequest { mut request, head, body, has_begun } = self;
         let timeout = request.timeout;
         let deadline = received_at + timeout;
         request.timeout = Ticks((deadline - now).0.max(0));
-        (request, OutgoingRequest { head, body, timeout, deadline })
+        (request, OutgoingRequest { head, body, timeout, deadline, has_begun })
     }
 }
 
--- a/crates/balancer/src/http/handler.rs
+++ b/crates/balancer/src/http/handler.rs
@@ -1,12 +1,12 @@
 //! Handles one request, from its head to its response.
 
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use axum::extract::{Extension, Request, State};
 use axum::http::{Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use doorproxy::ids::Ticks;
+use doorproxy::settings::Idempotency;
 
 use crate::http::MAX_STREAMED_BYTES;
 use crate::http::connection::ClientConnection;
@@ -19,37 +19,10 @@
 use crate::http::responses::{announce_close, rejected_response};
 use crate::http::server::Server;
 use crate::runtime::Runtime;
-use crate::sync::lock;
 
 /// Allowance for the network round trip to the client, whose own timeout starts when it sends the request.
 const CLIENT_MARGIN: Ticks = Ticks(200);
 
-/// Holds the ids of the requests in flight. Endpoints would take two requests with the same id for duplicates
-/// of one request.
-#[derive(Default)]
-pub(super) struct OpenRequestIds(Mutex<BTreeSet<String>>);
-
-impl OpenRequestIds {
-    fn open(&self, id: &str) -> Result<OpenRequestId<'_>, RequestError> {
-        if !lock(&self.0).insert(id.to_string()) {
-            return Err(RequestError::DuplicateId);
-        }
-        Ok(OpenRequestId { open_ids: self, id: id.to_string() })
-    }
-}
-
-/// Reserves the id of a request in flight: no other request can have this id until it is dropped.
-struct OpenRequestId<'a> {
-    open_ids: &'a OpenRequestIds,
-    id: String,
-}
-
-impl Drop for OpenRequestId<'_> {
-    fn drop(&mut self) {
-        lock(&self.open_ids.0).remove(&self.id);
-    }
-}
-
 pub(super) async fn is_ready<R: Runtime>(State(server): State<Arc<Server<R>>>) -> StatusCode {
     if server.lifecycle.is_draining() && !server.lifecycle.has_successor() {
         StatusCode::SERVICE_UNAVAILABLE
@@ -93,7 +66,7 @@
     }
     reserve_head(client.memory(), &mut head)?;
     let body = read_request_body(body, MAX_STREAMED_BYTES, client).await?;
-    Ok(ReceivedRequest { request, head, body })
+    Ok(ReceivedRequest { request, head, body, has_begun: Arc::default() })
 }
 
 async fn dispatch_request<R: Runtime>(
@@ -103,10 +76,19 @@
     class: &str,
 ) -> Response {
     let id = header_text(&received.head.headers, &ID_HEADER).ok().flatten().unwrap_or_default();
-    let _open_id = match server.open_request_ids.open(id) {
+    let class_settings = server.config.settings.class(received.request.class);
+    let is_repeatable = class_settings.idempotency == Idempotency::Idempotent;
+    let open_id = match server.request_ids.open(server.runtime.now(), id, is_repeatable) {
         Ok(open_id) => open_id,
         Err(error) => return error.into_response(),
     };
+    received.has_begun = open_id.begin_flag();
     received.request.timeout = Ticks((received.request.timeout.0 - CLIENT_MARGIN.0).max(0));
-    dispatch(&server.runtime, server, client, received, class, &server.lifecycle, |_| {}).await
+    let response =
+        dispatch(&server.runtime, server, client, received, class, &server.lifecycle, |_| {}).await;
+    // A rejection says that the request never ran, unless the endpoints drop repeats of its class.
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        open_id.set_never_ran();
+    }
+    response
 }
--- a/crates/balancer/src/http/request_fields.rs
+++ b/crates/balancer/src/http/request_fields.rs
@@ -48,6 +48,8 @@
     OutOfMemory,
     #[error("{ID_HEADER}: a request with this id is in flight")]
     DuplicateId,
+    #[error("{ID_HEADER}: a request with this id may have run")]
+    MayHaveRun,
 }
 
 impl RequestError {
@@ -55,7 +57,7 @@
         match self {
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
-            RequestError::DuplicateId => StatusCode::CONFLICT,
+            RequestError::DuplicateId | RequestError::MayHaveRun => StatusCode::CONFLICT,
             _ => StatusCode::BAD_REQUEST,
         }
     }
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -21,8 +21,9 @@
 use crate::http::LISTEN_BACKLOG;
 use crate::http::client_connections::ClientConnections;
 use crate::http::dispatch::UpstreamService;
-use crate::http::handler::{OpenRequestIds, handle_request, is_ready};
+use crate::http::handler::{handle_request, is_ready};
 use crate::http::lifecycle::Lifecycle;
+use crate::http::request_ids::RequestIds;
 use crate::http::shutdown::advance_shutdown;
 use crate::http::shutdown_times::ShutdownTimes;
 use crate::log_line;
@@ -63,7 +64,7 @@
     pub(super) components: Components<R>,
     pub(super) lifecycle: Lifecycle,
     pub(super) connections: Arc<ClientConnections<R>>,
-    pub(super) open_request_ids: OpenRequestIds,
+    pub(super) request_ids: RequestIds,
 }
 
 impl<R: Runtime> UpstreamService<R> for Server<R> {
@@ -97,7 +98,7 @@
             components,
             lifecycle: Lifecycle::new(ShutdownTimes::with_grace_period(grace_period, MIN_SERVING_TIME)),
             connections,
-            open_request_ids: OpenRequestIds::default(),
+            request_ids: RequestIds::default(),
         })
     }
 
--- a/crates/balancer/src/upstream.rs
+++ b/crates/balancer/src/upstream.rs
@@ -262,6 +262,7 @@
         let may_begin = {
             let runtime = self.runtime.clone();
             let has_begun = has_begun.clone();
+            let request_has_begun = outgoing.has_begun.clone();
             let accepts_attempts = target.accepts_attempts.clone();
             let begin_deadline = outgoing.begin_deadline();
             let is_wanted = dispatcher.begin_check(attempt);
@@ -271,6 +272,7 @@
                 let may_begin =
                     accepts_attempts.load(Ordering::Relaxed) && now < begin_deadline && is_wanted(now);
                 has_begun.store(may_begin, Ordering::Relaxed);
+                request_has_begun.fetch_or(may_begin, Ordering::Relaxed);
                 trace.record(if may_begin { "first byte" } else { "not wanted" });
                 may_begin
             }
--- a/crates/balancer/src/upstream/outgoing.rs
+++ b/crates/balancer/src/upstream/outgoing.rs
@@ -1,6 +1,8 @@
 //! Builds the requests that are sent to endpoints.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use axum::http::uri::PathAndQuery;
 use axum::http::{HeaderName, HeaderValue, Request, Uri, header, request};
@@ -25,6 +27,8 @@
     pub timeout: Ticks,
     /// The end of that time, if the body is buffered.
     pub deadline: Timestamp,
+    /// Is set once an attempt has begun.
+    pub has_begun: Arc<AtomicBool>,
 }
 
 impl OutgoingRequest {
--- a/crates/sidecar/src/handler.rs
+++ b/crates/sidecar/src/handler.rs
@@ -88,7 +88,7 @@
         return Ok(rejected_response(Some(MAX_RETRY_AFTER)));
     }
     let request = new_request(&state.config, &route_match);
-    let received = ReceivedRequest { request, head, body };
+    let received = ReceivedRequest { request, head, body, has_begun: Arc::default() };
     let pool = &state.pools[route_match.pool];
     let on_response = |response: &mut axum::http::Response<_>| add_via(response.headers_mut(), &sidecar.via);
     Ok(dispatch(&sidecar.runtime, pool, client, received, "", &sidecar.lifecycle, on_response).await)
