Share the ids of sent requests between the processes of an upgrade

Cause: each process knew the ids of its own requests only.

Change: while another process of the balancer runs, each appends the hashes of the ids that must not be sent again to a file beside its lock file, and reads the other's before it takes such a request.

--- a/crates/balancer/src/handover.rs
+++ b/crates/balancer/src/handover.rs
@@ -2,6 +2,7 @@
 //! the next process while the previous one still serves.
 
 mod process_locks;
+mod sent_ids;
 pub mod snapshot;
 
 use std::io;
@@ -29,6 +30,28 @@
 
     /// Returns the snapshot that a predecessor saved, if there is one.
     fn load_snapshot(&self) -> Option<String>;
+
+    /// Tells the other processes which ids must not be sent, or may be again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that can't be written.
+    fn share_sent_ids(&self, ids: &[SentId]) -> io::Result<()>;
+
+    /// Forgets what was shared, once no other process runs.
+    fn stop_sharing(&self);
+
+    /// Returns what the other processes have shared since the last call.
+    fn read_sent_ids(&self) -> Vec<SentId>;
+}
+
+/// States whether the request with an id may have run, or is open and may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentId {
+    /// Holds the hash of the id.
+    pub hash: u64,
+    /// Is unset if the request has ended and never ran.
+    pub may_have_run: bool,
 }
 
 /// Tells which other processes of this balancer run.
--- a/crates/balancer/src/handover/process_locks.rs
+++ b/crates/balancer/src/handover/process_locks.rs
@@ -3,9 +3,12 @@
 use std::fs::{File, TryLockError};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 
 use crate::file_names::safe_file_name;
-use crate::handover::{SiblingStatus, Siblings};
+use crate::handover::sent_ids::SentIdFiles;
+use crate::handover::{SentId, SiblingStatus, Siblings};
+use crate::sync::lock;
 
 /// Marks the lock file of a process that serves.
 const SERVING: &str = "serves\n";
@@ -18,6 +21,7 @@
     prefix: String,
     number: u64,
     own_lock: File,
+    sent_ids: Mutex<SentIdFiles>,
 }
 
 impl ProcessLocks {
@@ -36,7 +40,11 @@
         let last = process_numbers(directory, &prefix)?.into_iter().max().unwrap_or(0);
         let number = claim_number(directory, &prefix, &new_path, last + 1)?;
         std::fs::remove_file(&new_path)?;
-        Ok(ProcessLocks { directory: directory.to_path_buf(), prefix, number, own_lock })
+        let sent_ids = SentIdFiles::new(directory, format!("doorproxy-{name}.sent-"));
+        // A process that was killed may have left a file under this number.
+        let _ = std::fs::remove_file(sent_ids.path(number));
+        let sent_ids = Mutex::new(sent_ids);
+        Ok(ProcessLocks { directory: directory.to_path_buf(), prefix, number, own_lock, sent_ids })
     }
 
     fn snapshot_path(&self) -> PathBuf {
@@ -57,6 +65,7 @@
             Err(TryLockError::Error(_)) => None,
             Ok(()) => {
                 let _ = std::fs::remove_file(path);
+                let _ = std::fs::remove_file(lock(&self.sent_ids).path(number));
                 None
             }
         }
@@ -116,10 +125,25 @@
     fn load_snapshot(&self) -> Option<String> {
         std::fs::read_to_string(self.snapshot_path()).ok()
     }
+
+    fn share_sent_ids(&self, ids: &[SentId]) -> io::Result<()> {
+        lock(&self.sent_ids).append(self.number, ids)
+    }
+
+    fn stop_sharing(&self) {
+        lock(&self.sent_ids).remove_own();
+    }
+
+    fn read_sent_ids(&self) -> Vec<SentId> {
+        let mut numbers = process_numbers(&self.directory, &self.prefix).unwrap_or_default();
+        numbers.retain(|number| *number != self.number);
+        lock(&self.sent_ids).read(&numbers)
+    }
 }
 
 impl Drop for ProcessLocks {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(self.lock_path(self.number));
+        self.stop_sharing();
     }
 }
--- a/crates/balancer/src/http/request_ids.rs
+++ b/crates/balancer/src/http/request_ids.rs
@@ -2,12 +2,14 @@
 //! would take the second one for another request, and run it.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use doorproxy::ids::{Ticks, Timestamp};
 use doorproxy::rng::hash_text;
 
+use crate::handover::{SentId, Siblings};
 use crate::http::request_fields::RequestError;
 use crate::sync::lock;
 
@@ -27,6 +29,12 @@
     sent: BTreeMap<u64, u32>,
     /// The same hashes in the order in which they were added, with the times.
     order: VecDeque<(Timestamp, u64)>,
+    /// Hashes of the ids of open requests that may not be repeated.
+    open_unrepeatable: BTreeSet<u64>,
+    /// The other processes of the balancer, under an inherited listener.
+    siblings: Option<Arc<dyn Siblings>>,
+    /// Whether another process runs, so that ids are shared.
+    has_siblings: bool,
 }
 
 impl State {
@@ -46,6 +54,30 @@
         }
     }
 
+    fn active_siblings(&self) -> Option<Arc<dyn Siblings>> {
+        self.siblings.clone().filter(|_| self.has_siblings)
+    }
+
+    /// Applies what the other processes have shared.
+    fn read_siblings(&mut self, now: Timestamp) {
+        let Some(siblings) = self.active_siblings() else { return };
+        for id in siblings.read_sent_ids() {
+            if id.may_have_run {
+                self.add_sent(now, id.hash);
+            } else {
+                self.release(id.hash);
+            }
+        }
+    }
+
+    /// Shares an id with the other processes. Where that fails, they don't know of it, which `update_siblings` logs for
+    /// later ones.
+    fn share(&self, hash: u64, may_have_run: bool) {
+        if let Some(siblings) = self.active_siblings() {
+            let _ = siblings.share_sent_ids(&[SentId { hash, may_have_run }]);
+        }
+    }
+
     fn release(&mut self, hash: u64) {
         if let Some(count) = self.sent.get_mut(&hash) {
             *count -= 1;
@@ -61,6 +93,36 @@
         lock(&self.0)
     }
 
+    /// Sets the other processes of the balancer.
+    pub(super) fn set_siblings(&self, siblings: Arc<dyn Siblings>) {
+        self.state().siblings = Some(siblings);
+    }
+
+    /// Shares all ids once another process runs, and applies what the others have shared.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the ids can't be shared.
+    pub(super) fn update_siblings(
+        &self,
+        now: Timestamp,
+        has_siblings: bool,
+        siblings: &dyn Siblings,
+    ) -> io::Result<()> {
+        let mut state = self.state();
+        state.read_siblings(now);
+        let had_siblings = std::mem::replace(&mut state.has_siblings, has_siblings);
+        if had_siblings && !has_siblings {
+            siblings.stop_sharing();
+        }
+        if had_siblings || !has_siblings {
+            return Ok(());
+        }
+        let hashes = state.sent.keys().chain(&state.open_unrepeatable);
+        let ids: Vec<SentId> = hashes.map(|&hash| SentId { hash, may_have_run: true }).collect();
+        siblings.share_sent_ids(&ids)
+    }
+
     /// Reserves the id of a request until the returned guard is dropped. If `is_repeatable`, the request may run any
     /// number of times, and its id may come again.
     ///
@@ -75,12 +137,20 @@
     ) -> Result<OpenRequestId, RequestError> {
         let mut state = self.state();
         state.forget_old(now);
-        if !is_repeatable && state.sent.contains_key(&hash_text(id)) {
-            return Err(RequestError::MayHaveRun);
+        let hash = hash_text(id);
+        if !is_repeatable {
+            state.read_siblings(now);
+            if state.sent.contains_key(&hash) {
+                return Err(RequestError::MayHaveRun);
+            }
         }
         if !state.open.insert(id.to_string()) {
             return Err(RequestError::DuplicateId);
         }
+        if !is_repeatable {
+            state.open_unrepeatable.insert(hash);
+            state.share(hash, true);
+        }
         let has_begun = Arc::default();
         Ok(OpenRequestId { ids: self.clone(), id: id.to_string(), opened_at: now, is_repeatable, has_begun })
     }
@@ -111,8 +181,15 @@
     fn drop(&mut self) {
         let mut state = self.ids.state();
         state.open.remove(&self.id);
-        if self.has_begun.load(Ordering::Relaxed) && !self.is_repeatable {
-            state.add_sent(self.opened_at, hash_text(&self.id));
+        if self.is_repeatable {
+            return;
+        }
+        let hash = hash_text(&self.id);
+        state.open_unrepeatable.remove(&hash);
+        if self.has_begun.load(Ordering::Relaxed) {
+            state.add_sent(self.opened_at, hash);
+        } else {
+            state.share(hash, false);
         }
     }
 }
--- a/crates/balancer/src/http/server.rs
+++ b/crates/balancer/src/http/server.rs
@@ -116,6 +116,13 @@
         let lent = if status.has_siblings { max_sockets / 2 } else { 0 };
         self.connections.set_max_sockets(max_sockets - lent);
         self.connections.memory().set_shared(status.has_siblings);
+        let shared = self.request_ids.update_siblings(self.runtime.now(), status.has_siblings, siblings);
+        if let Err(error) = shared {
+            log_line!(
+                self.runtime,
+                "server: ids of sent requests could not be shared with the sibling: {error}"
+            );
+        }
         self.components.upstream_client.lend_sockets(upstream::max_upstream_sockets(lent));
     }
 
@@ -166,6 +173,9 @@
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
     let (listener, siblings) = bind(&server, inherited)?;
+    if let Some(siblings) = &siblings {
+        server.request_ids.set_siblings(siblings.clone());
+    }
     let siblings = siblings.as_deref();
     tokio::pin!(shutdown);
     if has_predecessor {
--- a/crates/balancer/tests/process_locks.rs
+++ b/crates/balancer/tests/process_locks.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::path::Path;
 
-use doorproxy_balancer::handover::{ProcessLocks, SiblingStatus, Siblings};
+use doorproxy_balancer::handover::{ProcessLocks, SentId, SiblingStatus, Siblings};
 use expect_test::expect;
 
 fn remaining_numbers(directory: &Path, prefix: &str) -> Vec<u64> {
@@ -59,3 +59,21 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// Prevents that the last ids of a process that ends are lost, and that an id is read twice.
+#[test]
+fn shared_ids_are_read_once_also_after_their_process_ended() {
+    let directory = tempfile::tempdir().unwrap();
+    let older = ProcessLocks::register(directory.path(), "n0").unwrap();
+    let newer = ProcessLocks::register(directory.path(), "n0").unwrap();
+    let id = |hash, may_have_run| SentId { hash, may_have_run };
+    older.share_sent_ids(&[id(1, true), id(2, true)]).unwrap();
+    assert_eq!(newer.read_sent_ids(), [id(1, true), id(2, true)]);
+    older.share_sent_ids(&[id(2, false)]).unwrap();
+    older.share_sent_ids(&[id(3, true)]).unwrap();
+    drop(older);
+    assert_eq!(newer.read_sent_ids(), [id(2, false), id(3, true)]);
+    assert_eq!(newer.read_sent_ids(), []);
+    drop(newer);
+    assert_eq!(std::fs::read_dir(directory.path()).unwrap().count(), 0);
+}
