--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -22,6 +22,7 @@
 pub mod responses;
 mod serve_connection;
 pub mod server;
+pub mod server_context;
 pub mod shutdown;
 pub mod shutdown_times;
 mod unwritten_response;
--- a/crates/balancer/src/http/client_connections.rs
+++ b/crates/balancer/src/http/client_connections.rs
@@ -11,11 +11,12 @@
 use doorproxy::ids::{Ticks, Timestamp};
 use tokio::sync::Notify;
 
-use crate::http::connection::{ClientConnection, ServerContext};
+use crate::http::connection::ClientConnection;
 use crate::http::event_counts::EventCounts;
 use crate::http::lifecycle::Lifecycle;
 use crate::http::open_requests::OpenRequests;
 use crate::http::serve_connection::serve_connection;
+use crate::http::server_context::ServerContext;
 use crate::log_line;
 use crate::memory::MemoryBudget;
 use crate::runtime::stall_detector::StallDetector;
--- a/crates/balancer/src/http/connection.rs
+++ b/crates/balancer/src/http/connection.rs
@@ -14,10 +14,10 @@
 use crate::http::event_counts::EventCounts;
 use crate::http::framing::ClientError;
 use crate::http::open_requests::{OpenRequest, RequestPhase};
+use crate::http::server_context::ServerContext;
 use crate::http::unwritten_response::UnwrittenResponse;
 use crate::memory::MemoryBudget;
 use crate::metrics::InFlightGuard;
-use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::{Runtime, TraceTopic};
 use crate::sync::lock;
 
@@ -25,16 +25,6 @@
 
 type EndCheck = Box<dyn Fn() -> bool + Send + Sync>;
 
-/// Holds what all client connections of a process share.
-pub struct ServerContext {
-    /// Dates input that arrived while the process did not run.
-    pub stall_detector: Mutex<StallDetector>,
-    /// Counts why connections closed and requests were not answered.
-    pub events: Arc<EventCounts>,
-    /// Bounds the memory of all buffers.
-    pub memory: MemoryBudget,
-}
-
 /// Tracks a client connection.
 pub struct ClientConnection<R> {
     runtime: R,
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -35,6 +35,8 @@
     runs: Mutex<BTreeMap<String, u32>>,
     violations: Mutex<Vec<String>>,
     answered: Mutex<u32>,
+    /// Whether the process was asked to end, which may cut requests short.
+    is_ending: AtomicBool,
     is_over: AtomicBool,
 }
 
@@ -169,6 +171,11 @@
         if taken > time + LATE_TOLERANCE && !request.contains("/long/") {
             self.observations.violation(format!("{id}: {status} after {taken:?} of {time:?}"));
         }
+        let is_cut_off =
+            status == "502" && request.starts_with("POST /long/") && taken + LATE_TOLERANCE < time;
+        if is_cut_off && !self.observations.is_ending.load(Ordering::Relaxed) {
+            self.observations.violation(format!("{id}: cut off after {taken:?} of {time:?}"));
+        }
         if status == "409" {
             self.observations.violation(format!("{id}: read and closed without an answer"));
         }
@@ -263,6 +270,7 @@
     let crowd = if below(&mut rng, 2) == 0 { start_crowd(balancer.address, &mut rng) } else { Vec::new() };
     thread::sleep(Duration::from_millis(below(&mut rng, 400).into()));
     let peak = peak_kb(&balancer);
+    observations.is_ending.store(true, Ordering::Relaxed);
     let asked_at = send_signals(&balancer, &mut rng);
     let kill_at = asked_at + longest + KILL_MARGIN;
     let mut status = None;
